--- a/src/bench/capacity.cc
+++ b/src/bench/capacity.cc
@@ -8,9 +8,9 @@
 #include "bench/lib/sample_document.h"
 #include "bench/lib/slope.h"
 #include "fleet/harness/test_fleet.h"
-#include "process/account_table.h"
-#include "process/io/peer_codec.h"
-#include "process/server_table.h"
+#include "process/accounts/account_table.h"
+#include "process/peers/io/peer_codec.h"
+#include "process/servers/server_table.h"
 #include "version/io/document_codec.h"
 
 namespace mangodoor {
--- a/src/bench/data_path.cc
+++ b/src/bench/data_path.cc
@@ -10,8 +10,8 @@
 #include "bench/lib/measured_thread.h"
 #include "connection/io/backend_pool.h"
 #include "connection/io/caller_listener.h"
-#include "process/attempt_table.h"
 #include "process/io/action_runner.h"
+#include "process/servers/attempt_table.h"
 #include "process/system_clock.h"
 #include "process/tables.h"
 
--- a/src/bench/lib/routing_sim.h
+++ b/src/bench/lib/routing_sim.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "process/server_pool.h"
+#include "process/servers/server_pool.h"
 
 namespace mangodoor::bench {
 
--- a/src/connection/io/backend_pool.h
+++ b/src/connection/io/backend_pool.h
@@ -15,7 +15,7 @@
 #include "process/clock.h"
 #include "process/counters.h"
 #include "process/ordered_mutex.h"
-#include "process/server_table.h"
+#include "process/servers/server_table.h"
 
 namespace mangodoor {
 
--- a/src/connection/io/peer_handshake.cc
+++ b/src/connection/io/peer_handshake.cc
@@ -7,7 +7,7 @@
 
 #include <stdexcept>
 
-#include "process/io/peer_codec.h"
+#include "process/peers/io/peer_codec.h"
 
 namespace mangodoor {
 namespace {
--- a/src/connection/io/peer_handshake.h
+++ b/src/connection/io/peer_handshake.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "process/peer_message.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
--- a/src/process/account_actions.h
+++ b/src/process/accounts/account_actions.h
@@ -1,12 +1,12 @@
-#ifndef PROCESS_ACCOUNT_ACTIONS_H_
-#define PROCESS_ACCOUNT_ACTIONS_H_
+#ifndef PROCESS_ACCOUNTS_ACCOUNT_ACTIONS_H_
+#define PROCESS_ACCOUNTS_ACCOUNT_ACTIONS_H_
 
 #include <functional>
 #include <optional>
 #include <vector>
 
 #include "process/error_kind.h"
-#include "process/peer_message.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -24,4 +24,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_ACCOUNT_ACTIONS_H_
+#endif  // PROCESS_ACCOUNTS_ACCOUNT_ACTIONS_H_
--- a/src/process/account_book.cc
+++ b/src/process/accounts/account_book.cc
@@ -1,10 +1,10 @@
-#include "process/account_book.h"
+#include "process/accounts/account_book.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "process/account_messages.h"
-#include "process/lease_policy.h"
+#include "process/accounts/account_messages.h"
+#include "process/accounts/lease_policy.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/account_book.h
+++ b/src/process/accounts/account_book.h
@@ -1,15 +1,15 @@
-#ifndef PROCESS_ACCOUNT_BOOK_H_
-#define PROCESS_ACCOUNT_BOOK_H_
+#ifndef PROCESS_ACCOUNTS_ACCOUNT_BOOK_H_
+#define PROCESS_ACCOUNTS_ACCOUNT_BOOK_H_
 
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
 
-#include "process/account_actions.h"
-#include "process/account_state.h"
-#include "process/limit_faults.h"
-#include "process/peer_message.h"
-#include "process/share.h"
+#include "process/accounts/account_actions.h"
+#include "process/accounts/account_state.h"
+#include "process/accounts/limit_faults.h"
+#include "process/accounts/share.h"
+#include "process/peers/peer_message.h"
 #include "version/version.h"
 
 namespace mangodoor {
@@ -89,4 +89,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_ACCOUNT_BOOK_H_
+#endif  // PROCESS_ACCOUNTS_ACCOUNT_BOOK_H_
--- a/src/process/account_messages.cc
+++ b/src/process/accounts/account_messages.cc
@@ -1,8 +1,8 @@
-#include "process/account_messages.h"
+#include "process/accounts/account_messages.h"
 
 #include <algorithm>
 
-#include "process/lease_policy.h"
+#include "process/accounts/lease_policy.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/account_messages.h
+++ b/src/process/accounts/account_messages.h
@@ -1,7 +1,7 @@
-#ifndef PROCESS_ACCOUNT_MESSAGES_H_
-#define PROCESS_ACCOUNT_MESSAGES_H_
+#ifndef PROCESS_ACCOUNTS_ACCOUNT_MESSAGES_H_
+#define PROCESS_ACCOUNTS_ACCOUNT_MESSAGES_H_
 
-#include "process/account_book.h"
+#include "process/accounts/account_book.h"
 
 namespace mangodoor {
 
@@ -41,4 +41,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_ACCOUNT_MESSAGES_H_
+#endif  // PROCESS_ACCOUNTS_ACCOUNT_MESSAGES_H_
--- a/src/process/account_state.cc
+++ b/src/process/accounts/account_state.cc
@@ -1,4 +1,4 @@
-#include "process/account_state.h"
+#include "process/accounts/account_state.h"
 
 #include <algorithm>
 
--- a/src/process/account_state.h
+++ b/src/process/accounts/account_state.h
@@ -1,16 +1,16 @@
-#ifndef PROCESS_ACCOUNT_STATE_H_
-#define PROCESS_ACCOUNT_STATE_H_
+#ifndef PROCESS_ACCOUNTS_ACCOUNT_STATE_H_
+#define PROCESS_ACCOUNTS_ACCOUNT_STATE_H_
 
 #include <cstdint>
 #include <optional>
 
-#include "process/admission_queue.h"
-#include "process/demand.h"
-#include "process/lease_book.h"
-#include "process/limit_faults.h"
-#include "process/share.h"
-#include "process/status.h"
-#include "process/token_bucket.h"
+#include "process/accounts/admission_queue.h"
+#include "process/accounts/demand.h"
+#include "process/accounts/lease_book.h"
+#include "process/accounts/limit_faults.h"
+#include "process/accounts/share.h"
+#include "process/accounts/token_bucket.h"
+#include "process/status/status.h"
 
 namespace mangodoor {
 
@@ -82,4 +82,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_ACCOUNT_STATE_H_
+#endif  // PROCESS_ACCOUNTS_ACCOUNT_STATE_H_
--- a/src/process/account_table.cc
+++ b/src/process/accounts/account_table.cc
@@ -1,4 +1,4 @@
-#include "process/account_table.h"
+#include "process/accounts/account_table.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/account_table.h
+++ b/src/process/accounts/account_table.h
@@ -1,16 +1,16 @@
-#ifndef PROCESS_ACCOUNT_TABLE_H_
-#define PROCESS_ACCOUNT_TABLE_H_
+#ifndef PROCESS_ACCOUNTS_ACCOUNT_TABLE_H_
+#define PROCESS_ACCOUNTS_ACCOUNT_TABLE_H_
 
 #include <cstdint>
 #include <vector>
 
-#include "process/account_actions.h"
-#include "process/account_book.h"
+#include "process/accounts/account_actions.h"
+#include "process/accounts/account_book.h"
 #include "process/clock.h"
 #include "process/error_kind.h"
 #include "process/ordered_mutex.h"
-#include "process/peer_message.h"
-#include "process/status.h"
+#include "process/peers/peer_message.h"
+#include "process/status/status.h"
 #include "version/version.h"
 
 namespace mangodoor {
@@ -115,4 +115,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_ACCOUNT_TABLE_H_
+#endif  // PROCESS_ACCOUNTS_ACCOUNT_TABLE_H_
--- a/src/process/admission_queue.cc
+++ b/src/process/accounts/admission_queue.cc
@@ -1,4 +1,4 @@
-#include "process/admission_queue.h"
+#include "process/accounts/admission_queue.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/admission_queue.h
+++ b/src/process/accounts/admission_queue.h
@@ -1,13 +1,13 @@
-#ifndef PROCESS_ADMISSION_QUEUE_H_
-#define PROCESS_ADMISSION_QUEUE_H_
+#ifndef PROCESS_ACCOUNTS_ADMISSION_QUEUE_H_
+#define PROCESS_ACCOUNTS_ADMISSION_QUEUE_H_
 
 #include <cstdint>
 #include <deque>
 
-#include "process/account_actions.h"
+#include "process/accounts/account_actions.h"
+#include "process/accounts/limit_faults.h"
+#include "process/accounts/token_bucket.h"
 #include "process/clock.h"
-#include "process/limit_faults.h"
-#include "process/token_bucket.h"
 
 namespace mangodoor {
 
@@ -54,4 +54,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_ADMISSION_QUEUE_H_
+#endif  // PROCESS_ACCOUNTS_ADMISSION_QUEUE_H_
--- a/src/process/demand.cc
+++ b/src/process/accounts/demand.cc
@@ -1,4 +1,4 @@
-#include "process/demand.h"
+#include "process/accounts/demand.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/demand.h
+++ b/src/process/accounts/demand.h
@@ -1,12 +1,12 @@
-#ifndef PROCESS_DEMAND_H_
-#define PROCESS_DEMAND_H_
+#ifndef PROCESS_ACCOUNTS_DEMAND_H_
+#define PROCESS_ACCOUNTS_DEMAND_H_
 
 #include <cstdint>
 #include <map>
 
+#include "process/accounts/token_bucket.h"
 #include "process/clock.h"
-#include "process/peer_message.h"
-#include "process/token_bucket.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -64,4 +64,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_DEMAND_H_
+#endif  // PROCESS_ACCOUNTS_DEMAND_H_
--- a/src/process/lease_book.cc
+++ b/src/process/accounts/lease_book.cc
@@ -1,4 +1,4 @@
-#include "process/lease_book.h"
+#include "process/accounts/lease_book.h"
 
 #include <algorithm>
 
--- a/src/process/lease_book.h
+++ b/src/process/accounts/lease_book.h
@@ -1,15 +1,15 @@
-#ifndef PROCESS_LEASE_BOOK_H_
-#define PROCESS_LEASE_BOOK_H_
+#ifndef PROCESS_ACCOUNTS_LEASE_BOOK_H_
+#define PROCESS_ACCOUNTS_LEASE_BOOK_H_
 
 #include <cstdint>
 #include <optional>
 #include <vector>
 
+#include "process/accounts/limit_faults.h"
+#include "process/accounts/share.h"
+#include "process/accounts/token_bucket.h"
 #include "process/clock.h"
-#include "process/limit_faults.h"
-#include "process/peer_message.h"
-#include "process/share.h"
-#include "process/token_bucket.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -116,4 +116,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_LEASE_BOOK_H_
+#endif  // PROCESS_ACCOUNTS_LEASE_BOOK_H_
--- a/src/process/lease_policy.cc
+++ b/src/process/accounts/lease_policy.cc
@@ -1,4 +1,4 @@
-#include "process/lease_policy.h"
+#include "process/accounts/lease_policy.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/process/lease_policy.h
+++ b/src/process/accounts/lease_policy.h
@@ -1,13 +1,13 @@
-#ifndef PROCESS_LEASE_POLICY_H_
-#define PROCESS_LEASE_POLICY_H_
+#ifndef PROCESS_ACCOUNTS_LEASE_POLICY_H_
+#define PROCESS_ACCOUNTS_LEASE_POLICY_H_
 
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "process/account_state.h"
+#include "process/accounts/account_state.h"
 #include "process/clock.h"
-#include "process/peer_message.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -84,4 +84,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_LEASE_POLICY_H_
+#endif  // PROCESS_ACCOUNTS_LEASE_POLICY_H_
--- a/src/process/share.cc
+++ b/src/process/accounts/share.cc
@@ -1,4 +1,4 @@
-#include "process/share.h"
+#include "process/accounts/share.h"
 
 #include <algorithm>
 
--- a/src/process/share.h
+++ b/src/process/accounts/share.h
@@ -1,12 +1,12 @@
-#ifndef PROCESS_SHARE_H_
-#define PROCESS_SHARE_H_
+#ifndef PROCESS_ACCOUNTS_SHARE_H_
+#define PROCESS_ACCOUNTS_SHARE_H_
 
 #include <optional>
 #include <vector>
 
+#include "process/accounts/limit_faults.h"
+#include "process/accounts/token_bucket.h"
 #include "process/clock.h"
-#include "process/limit_faults.h"
-#include "process/token_bucket.h"
 #include "version/document.h"
 #include "version/endpoint.h"
 
@@ -78,4 +78,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_SHARE_H_
+#endif  // PROCESS_ACCOUNTS_SHARE_H_
--- a/src/process/token_bucket.cc
+++ b/src/process/accounts/token_bucket.cc
@@ -1,4 +1,4 @@
-#include "process/token_bucket.h"
+#include "process/accounts/token_bucket.h"
 
 #include <algorithm>
 
--- a/src/process/token_bucket.h
+++ b/src/process/accounts/token_bucket.h
@@ -1,10 +1,10 @@
-#ifndef PROCESS_TOKEN_BUCKET_H_
-#define PROCESS_TOKEN_BUCKET_H_
+#ifndef PROCESS_ACCOUNTS_TOKEN_BUCKET_H_
+#define PROCESS_ACCOUNTS_TOKEN_BUCKET_H_
 
 #include <cstdint>
 
 #include "process/clock.h"
-#include "process/peer_message.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -51,4 +51,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_TOKEN_BUCKET_H_
+#endif  // PROCESS_ACCOUNTS_TOKEN_BUCKET_H_
--- a/src/process/io/action_runner.h
+++ b/src/process/io/action_runner.h
@@ -4,10 +4,10 @@
 #include <functional>
 #include <unordered_map>
 
-#include "process/account_table.h"
+#include "process/accounts/account_table.h"
 #include "process/ordered_mutex.h"
-#include "process/peer_transport.h"
-#include "process/server_table.h"
+#include "process/peers/peer_transport.h"
+#include "process/servers/server_table.h"
 
 namespace mangodoor {
 
--- a/src/process/io/settings.h
+++ b/src/process/io/settings.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "process/io/log.h"
-#include "process/membership.h"
+#include "process/membership/membership.h"
 #include "version/fault.h"
 
 namespace mangodoor {
--- a/src/process/call_result.cc
+++ b/src/process/load/call_result.cc
@@ -1,4 +1,4 @@
-#include "process/call_result.h"
+#include "process/load/call_result.h"
 
 #include "process/error_kind.h"
 
--- a/src/process/call_result.h
+++ b/src/process/load/call_result.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_CALL_RESULT_H_
-#define PROCESS_CALL_RESULT_H_
+#ifndef PROCESS_LOAD_CALL_RESULT_H_
+#define PROCESS_LOAD_CALL_RESULT_H_
 
 #include <string>
 
@@ -50,4 +50,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_CALL_RESULT_H_
+#endif  // PROCESS_LOAD_CALL_RESULT_H_
--- a/src/process/io/load_caller.h
+++ b/src/process/load/io/load_caller.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_LOAD_CALLER_H_
-#define PROCESS_IO_LOAD_CALLER_H_
+#ifndef PROCESS_LOAD_IO_LOAD_CALLER_H_
+#define PROCESS_LOAD_IO_LOAD_CALLER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "process/address_book.h"
-#include "process/call_result.h"
 #include "process/clock.h"
+#include "process/load/call_result.h"
+#include "process/membership/address_book.h"
 
 namespace mangodoor {
 
@@ -67,4 +67,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_LOAD_CALLER_H_
+#endif  // PROCESS_LOAD_IO_LOAD_CALLER_H_
--- a/src/process/load_report.h
+++ b/src/process/load/load_report.h
@@ -1,12 +1,12 @@
-#ifndef PROCESS_LOAD_REPORT_H_
-#define PROCESS_LOAD_REPORT_H_
+#ifndef PROCESS_LOAD_LOAD_REPORT_H_
+#define PROCESS_LOAD_LOAD_REPORT_H_
 
 #include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "process/call_result.h"
+#include "process/load/call_result.h"
 
 namespace mangodoor {
 
@@ -35,4 +35,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_LOAD_REPORT_H_
+#endif  // PROCESS_LOAD_LOAD_REPORT_H_
--- a/src/process/address_choice.cc
+++ b/src/process/membership/address_choice.cc
@@ -1,9 +1,9 @@
-#include "process/address_choice.h"
+#include "process/membership/address_choice.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "process/rendezvous.h"
+#include "process/membership/rendezvous.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/address_choice.h
+++ b/src/process/membership/address_choice.h
@@ -1,10 +1,10 @@
-#ifndef PROCESS_ADDRESS_CHOICE_H_
-#define PROCESS_ADDRESS_CHOICE_H_
+#ifndef PROCESS_MEMBERSHIP_ADDRESS_CHOICE_H_
+#define PROCESS_MEMBERSHIP_ADDRESS_CHOICE_H_
 
 #include <string>
 #include <vector>
 
-#include "process/membership.h"
+#include "process/membership/membership.h"
 
 namespace mangodoor {
 
@@ -27,4 +27,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_ADDRESS_CHOICE_H_
+#endif  // PROCESS_MEMBERSHIP_ADDRESS_CHOICE_H_
--- a/src/process/contact.cc
+++ b/src/process/membership/contact.cc
@@ -1,4 +1,4 @@
-#include "process/contact.h"
+#include "process/membership/contact.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/process/contact.h
+++ b/src/process/membership/contact.h
@@ -1,12 +1,12 @@
-#ifndef PROCESS_CONTACT_H_
-#define PROCESS_CONTACT_H_
+#ifndef PROCESS_MEMBERSHIP_CONTACT_H_
+#define PROCESS_MEMBERSHIP_CONTACT_H_
 
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
-#include "process/membership.h"
-#include "process/peer_view.h"
+#include "process/membership/membership.h"
+#include "process/membership/peer_view.h"
 
 namespace mangodoor {
 
@@ -38,4 +38,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_CONTACT_H_
+#endif  // PROCESS_MEMBERSHIP_CONTACT_H_
--- a/src/process/freshness.cc
+++ b/src/process/membership/freshness.cc
@@ -1,4 +1,4 @@
-#include "process/freshness.h"
+#include "process/membership/freshness.h"
 
 #include <algorithm>
 
--- a/src/process/freshness.h
+++ b/src/process/membership/freshness.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_FRESHNESS_H_
-#define PROCESS_FRESHNESS_H_
+#ifndef PROCESS_MEMBERSHIP_FRESHNESS_H_
+#define PROCESS_MEMBERSHIP_FRESHNESS_H_
 
 #include <optional>
 
@@ -46,4 +46,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_FRESHNESS_H_
+#endif  // PROCESS_MEMBERSHIP_FRESHNESS_H_
--- a/src/process/instance_list_source.h
+++ b/src/process/membership/instance_list_source.h
@@ -1,10 +1,10 @@
-#ifndef PROCESS_INSTANCE_LIST_SOURCE_H_
-#define PROCESS_INSTANCE_LIST_SOURCE_H_
+#ifndef PROCESS_MEMBERSHIP_INSTANCE_LIST_SOURCE_H_
+#define PROCESS_MEMBERSHIP_INSTANCE_LIST_SOURCE_H_
 
 #include <functional>
 #include <optional>
 
-#include "process/membership.h"
+#include "process/membership/membership.h"
 
 namespace mangodoor {
 
@@ -22,4 +22,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_INSTANCE_LIST_SOURCE_H_
+#endif  // PROCESS_MEMBERSHIP_INSTANCE_LIST_SOURCE_H_
--- a/src/process/io/instance_list_source.cc
+++ b/src/process/membership/io/instance_list_source.cc
@@ -1,4 +1,4 @@
-#include "process/io/instance_list_source.h"
+#include "process/membership/io/instance_list_source.h"
 
 #include <nlohmann/json.hpp>
 #include <set>
--- a/src/process/io/instance_list_source.h
+++ b/src/process/membership/io/instance_list_source.h
@@ -1,10 +1,10 @@
-#ifndef PROCESS_IO_INSTANCE_LIST_SOURCE_H_
-#define PROCESS_IO_INSTANCE_LIST_SOURCE_H_
+#ifndef PROCESS_MEMBERSHIP_IO_INSTANCE_LIST_SOURCE_H_
+#define PROCESS_MEMBERSHIP_IO_INSTANCE_LIST_SOURCE_H_
 
 #include <boost/asio/io_context.hpp>
 #include <string>
 
-#include "process/instance_list_source.h"
+#include "process/membership/instance_list_source.h"
 
 namespace mangodoor {
 
@@ -25,4 +25,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_INSTANCE_LIST_SOURCE_H_
+#endif  // PROCESS_MEMBERSHIP_IO_INSTANCE_LIST_SOURCE_H_
--- a/src/process/join.cc
+++ b/src/process/membership/join.cc
@@ -1,4 +1,4 @@
-#include "process/join.h"
+#include "process/membership/join.h"
 
 namespace mangodoor {
 
--- a/src/process/join.h
+++ b/src/process/membership/join.h
@@ -1,9 +1,9 @@
-#ifndef PROCESS_JOIN_H_
-#define PROCESS_JOIN_H_
+#ifndef PROCESS_MEMBERSHIP_JOIN_H_
+#define PROCESS_MEMBERSHIP_JOIN_H_
 
 #include <cstdint>
 
-#include "process/contact.h"
+#include "process/membership/contact.h"
 
 namespace mangodoor {
 
@@ -24,4 +24,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_JOIN_H_
+#endif  // PROCESS_MEMBERSHIP_JOIN_H_
--- a/src/process/membership.h
+++ b/src/process/membership/membership.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_MEMBERSHIP_H_
-#define PROCESS_MEMBERSHIP_H_
+#ifndef PROCESS_MEMBERSHIP_MEMBERSHIP_H_
+#define PROCESS_MEMBERSHIP_MEMBERSHIP_H_
 
 #include <cstdint>
 #include <vector>
@@ -28,4 +28,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_MEMBERSHIP_H_
+#endif  // PROCESS_MEMBERSHIP_MEMBERSHIP_H_
--- a/src/process/membership_addresses.cc
+++ b/src/process/membership/membership_addresses.cc
@@ -1,7 +1,7 @@
 #include <utility>
 
-#include "process/address_choice.h"
-#include "process/membership_table.h"
+#include "process/membership/address_choice.h"
+#include "process/membership/membership_table.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/membership_table.cc
+++ b/src/process/membership/membership_table.cc
@@ -1,9 +1,9 @@
-#include "process/membership_table.h"
+#include "process/membership/membership_table.h"
 
 #include <algorithm>
 
-#include "process/freshness.h"
-#include "process/peer_selection.h"
+#include "process/membership/freshness.h"
+#include "process/membership/peer_selection.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/membership_table.h
+++ b/src/process/membership/membership_table.h
@@ -1,16 +1,16 @@
-#ifndef PROCESS_MEMBERSHIP_TABLE_H_
-#define PROCESS_MEMBERSHIP_TABLE_H_
+#ifndef PROCESS_MEMBERSHIP_MEMBERSHIP_TABLE_H_
+#define PROCESS_MEMBERSHIP_MEMBERSHIP_TABLE_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "process/clock.h"
-#include "process/contact.h"
-#include "process/membership.h"
+#include "process/membership/contact.h"
+#include "process/membership/membership.h"
 #include "process/ordered_mutex.h"
-#include "process/peer_message.h"
-#include "process/status.h"
+#include "process/peers/peer_message.h"
+#include "process/status/status.h"
 #include "version/version.h"
 
 namespace mangodoor {
@@ -123,4 +123,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_MEMBERSHIP_TABLE_H_
+#endif  // PROCESS_MEMBERSHIP_MEMBERSHIP_TABLE_H_
--- a/src/process/peer_selection.cc
+++ b/src/process/membership/peer_selection.cc
@@ -1,10 +1,10 @@
-#include "process/peer_selection.h"
+#include "process/membership/peer_selection.h"
 
 #include <algorithm>
 #include <map>
 #include <set>
 
-#include "process/rendezvous.h"
+#include "process/membership/rendezvous.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/peer_selection.h
+++ b/src/process/membership/peer_selection.h
@@ -1,9 +1,9 @@
-#ifndef PROCESS_PEER_SELECTION_H_
-#define PROCESS_PEER_SELECTION_H_
+#ifndef PROCESS_MEMBERSHIP_PEER_SELECTION_H_
+#define PROCESS_MEMBERSHIP_PEER_SELECTION_H_
 
 #include <vector>
 
-#include "process/membership.h"
+#include "process/membership/membership.h"
 
 namespace mangodoor {
 
@@ -20,4 +20,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_PEER_SELECTION_H_
+#endif  // PROCESS_MEMBERSHIP_PEER_SELECTION_H_
--- a/src/process/peer_view.cc
+++ b/src/process/membership/peer_view.cc
@@ -1,4 +1,4 @@
-#include "process/peer_view.h"
+#include "process/membership/peer_view.h"
 
 #include <algorithm>
 
--- a/src/process/peer_view.h
+++ b/src/process/membership/peer_view.h
@@ -1,11 +1,11 @@
-#ifndef PROCESS_PEER_VIEW_H_
-#define PROCESS_PEER_VIEW_H_
+#ifndef PROCESS_MEMBERSHIP_PEER_VIEW_H_
+#define PROCESS_MEMBERSHIP_PEER_VIEW_H_
 
 #include <optional>
 #include <string>
 
 #include "process/clock.h"
-#include "process/peer_message.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -49,4 +49,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_PEER_VIEW_H_
+#endif  // PROCESS_MEMBERSHIP_PEER_VIEW_H_
--- a/src/process/rendezvous.cc
+++ b/src/process/membership/rendezvous.cc
@@ -1,4 +1,4 @@
-#include "process/rendezvous.h"
+#include "process/membership/rendezvous.h"
 
 #include <utility>
 
--- a/src/process/rendezvous.h
+++ b/src/process/membership/rendezvous.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_RENDEZVOUS_H_
-#define PROCESS_RENDEZVOUS_H_
+#ifndef PROCESS_MEMBERSHIP_RENDEZVOUS_H_
+#define PROCESS_MEMBERSHIP_RENDEZVOUS_H_
 
 #include <cstdint>
 #include <optional>
@@ -31,4 +31,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_RENDEZVOUS_H_
+#endif  // PROCESS_MEMBERSHIP_RENDEZVOUS_H_
--- a/src/process/io/cbor_check.cc
+++ b/src/process/peers/io/cbor_check.cc
@@ -1,4 +1,4 @@
-#include "process/io/cbor_check.h"
+#include "process/peers/io/cbor_check.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/process/io/cbor_check.h
+++ b/src/process/peers/io/cbor_check.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_CBOR_CHECK_H_
-#define PROCESS_IO_CBOR_CHECK_H_
+#ifndef PROCESS_PEERS_IO_CBOR_CHECK_H_
+#define PROCESS_PEERS_IO_CBOR_CHECK_H_
 
 #include <cstddef>
 #include <string_view>
@@ -21,4 +21,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_CBOR_CHECK_H_
+#endif  // PROCESS_PEERS_IO_CBOR_CHECK_H_
--- a/src/process/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -1,4 +1,4 @@
-#include "process/io/peer_codec.h"
+#include "process/peers/io/peer_codec.h"
 
 #include <algorithm>
 #include <array>
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include "connection/io/peer_handshake.h"
-#include "process/io/cbor_check.h"
-#include "process/io/peer_fields.h"
+#include "process/peers/io/cbor_check.h"
+#include "process/peers/io/peer_fields.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/io/peer_codec.h
+++ b/src/process/peers/io/peer_codec.h
@@ -1,11 +1,11 @@
-#ifndef PROCESS_IO_PEER_CODEC_H_
-#define PROCESS_IO_PEER_CODEC_H_
+#ifndef PROCESS_PEERS_IO_PEER_CODEC_H_
+#define PROCESS_PEERS_IO_PEER_CODEC_H_
 
 #include <stdexcept>
 #include <string>
 #include <string_view>
 
-#include "process/peer_message.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -26,4 +26,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_PEER_CODEC_H_
+#endif  // PROCESS_PEERS_IO_PEER_CODEC_H_
--- a/src/process/io/peer_fields.cc
+++ b/src/process/peers/io/peer_fields.cc
@@ -1,8 +1,8 @@
-#include "process/io/peer_fields.h"
+#include "process/peers/io/peer_fields.h"
 
 #include <algorithm>
 
-#include "process/io/peer_codec.h"
+#include "process/peers/io/peer_codec.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/io/peer_fields.h
+++ b/src/process/peers/io/peer_fields.h
@@ -1,12 +1,12 @@
-#ifndef PROCESS_IO_PEER_FIELDS_H_
-#define PROCESS_IO_PEER_FIELDS_H_
+#ifndef PROCESS_PEERS_IO_PEER_FIELDS_H_
+#define PROCESS_PEERS_IO_PEER_FIELDS_H_
 
 #include <array>
 #include <nlohmann/json.hpp>
 #include <string>
 
 #include "process/clock.h"
-#include "process/peer_message.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -78,4 +78,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_PEER_FIELDS_H_
+#endif  // PROCESS_PEERS_IO_PEER_FIELDS_H_
--- a/src/process/io/peer_hub.cc
+++ b/src/process/peers/io/peer_hub.cc
@@ -1,4 +1,4 @@
-#include "process/io/peer_hub.h"
+#include "process/peers/io/peer_hub.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -7,9 +7,9 @@
 #include <utility>
 
 #include "process/io/log.h"
-#include "process/io/peer_codec.h"
-#include "process/io/peer_registry.h"
-#include "process/io/peer_sockets.h"
+#include "process/peers/io/peer_codec.h"
+#include "process/peers/io/peer_registry.h"
+#include "process/peers/io/peer_sockets.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/io/peer_hub.h
+++ b/src/process/peers/io/peer_hub.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_PEER_HUB_H_
-#define PROCESS_IO_PEER_HUB_H_
+#ifndef PROCESS_PEERS_IO_PEER_HUB_H_
+#define PROCESS_PEERS_IO_PEER_HUB_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -9,8 +9,8 @@
 
 #include "process/clock.h"
 #include "process/counters.h"
-#include "process/membership.h"
-#include "process/peer_transport.h"
+#include "process/membership/membership.h"
+#include "process/peers/peer_transport.h"
 
 namespace mangodoor {
 
@@ -82,4 +82,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_PEER_HUB_H_
+#endif  // PROCESS_PEERS_IO_PEER_HUB_H_
--- a/src/process/io/peer_registry.cc
+++ b/src/process/peers/io/peer_registry.cc
@@ -1,4 +1,4 @@
-#include "process/io/peer_registry.h"
+#include "process/peers/io/peer_registry.h"
 
 #include <utility>
 
--- a/src/process/io/peer_registry.h
+++ b/src/process/peers/io/peer_registry.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_PEER_REGISTRY_H_
-#define PROCESS_IO_PEER_REGISTRY_H_
+#ifndef PROCESS_PEERS_IO_PEER_REGISTRY_H_
+#define PROCESS_PEERS_IO_PEER_REGISTRY_H_
 
 #include <map>
 #include <memory>
@@ -11,9 +11,9 @@
 #include "connection/io/peer_handshake.h"
 #include "connection/message_bucket.h"
 #include "connection/peer_link.h"
-#include "process/io/peer_sockets.h"
-#include "process/membership.h"
+#include "process/membership/membership.h"
 #include "process/ordered_mutex.h"
+#include "process/peers/io/peer_sockets.h"
 
 namespace mangodoor {
 
@@ -100,4 +100,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_PEER_REGISTRY_H_
+#endif  // PROCESS_PEERS_IO_PEER_REGISTRY_H_
--- a/src/process/io/peer_sockets.cc
+++ b/src/process/peers/io/peer_sockets.cc
@@ -1,4 +1,4 @@
-#include "process/io/peer_sockets.h"
+#include "process/peers/io/peer_sockets.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,8 +10,8 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
-#include "process/io/peer_codec.h"
 #include "process/ordered_mutex.h"
+#include "process/peers/io/peer_codec.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/io/peer_sockets.h
+++ b/src/process/peers/io/peer_sockets.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_PEER_SOCKETS_H_
-#define PROCESS_IO_PEER_SOCKETS_H_
+#ifndef PROCESS_PEERS_IO_PEER_SOCKETS_H_
+#define PROCESS_PEERS_IO_PEER_SOCKETS_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -78,4 +78,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_PEER_SOCKETS_H_
+#endif  // PROCESS_PEERS_IO_PEER_SOCKETS_H_
--- a/src/process/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_PEER_MESSAGE_H_
-#define PROCESS_PEER_MESSAGE_H_
+#ifndef PROCESS_PEERS_PEER_MESSAGE_H_
+#define PROCESS_PEERS_PEER_MESSAGE_H_
 
 #include <cstdint>
 #include <optional>
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "process/clock.h"
-#include "process/membership.h"
-#include "process/server_state.h"
+#include "process/membership/membership.h"
+#include "process/servers/server_state.h"
 #include "version/ids.h"
 
 namespace mangodoor {
@@ -123,4 +123,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_PEER_MESSAGE_H_
+#endif  // PROCESS_PEERS_PEER_MESSAGE_H_
--- a/src/process/peer_transport.h
+++ b/src/process/peers/peer_transport.h
@@ -1,7 +1,7 @@
-#ifndef PROCESS_PEER_TRANSPORT_H_
-#define PROCESS_PEER_TRANSPORT_H_
+#ifndef PROCESS_PEERS_PEER_TRANSPORT_H_
+#define PROCESS_PEERS_PEER_TRANSPORT_H_
 
-#include "process/peer_message.h"
+#include "process/peers/peer_message.h"
 
 namespace mangodoor {
 
@@ -19,4 +19,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_PEER_TRANSPORT_H_
+#endif  // PROCESS_PEERS_PEER_TRANSPORT_H_
--- a/src/process/attempt_table.cc
+++ b/src/process/servers/attempt_table.cc
@@ -1,4 +1,4 @@
-#include "process/attempt_table.h"
+#include "process/servers/attempt_table.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/attempt_table.h
+++ b/src/process/servers/attempt_table.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_ATTEMPT_TABLE_H_
-#define PROCESS_ATTEMPT_TABLE_H_
+#ifndef PROCESS_SERVERS_ATTEMPT_TABLE_H_
+#define PROCESS_SERVERS_ATTEMPT_TABLE_H_
 
 #include <chrono>
 
@@ -36,4 +36,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_ATTEMPT_TABLE_H_
+#endif  // PROCESS_SERVERS_ATTEMPT_TABLE_H_
--- a/src/process/cold_start.cc
+++ b/src/process/servers/cold_start.cc
@@ -1,4 +1,4 @@
-#include "process/cold_start.h"
+#include "process/servers/cold_start.h"
 
 #include <algorithm>
 
--- a/src/process/cold_start.h
+++ b/src/process/servers/cold_start.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_COLD_START_H_
-#define PROCESS_COLD_START_H_
+#ifndef PROCESS_SERVERS_COLD_START_H_
+#define PROCESS_SERVERS_COLD_START_H_
 
 #include "process/clock.h"
 
@@ -58,4 +58,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_COLD_START_H_
+#endif  // PROCESS_SERVERS_COLD_START_H_
--- a/src/process/fair_queue.cc
+++ b/src/process/servers/fair_queue.cc
@@ -1,4 +1,4 @@
-#include "process/fair_queue.h"
+#include "process/servers/fair_queue.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/fair_queue.h
+++ b/src/process/servers/fair_queue.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_FAIR_QUEUE_H_
-#define PROCESS_FAIR_QUEUE_H_
+#ifndef PROCESS_SERVERS_FAIR_QUEUE_H_
+#define PROCESS_SERVERS_FAIR_QUEUE_H_
 
 #include <cstdint>
 #include <deque>
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "process/server_request.h"
+#include "process/servers/server_request.h"
 
 namespace mangodoor {
 
@@ -68,4 +68,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_FAIR_QUEUE_H_
+#endif  // PROCESS_SERVERS_FAIR_QUEUE_H_
--- a/src/process/io/prober.cc
+++ b/src/process/servers/io/prober.cc
@@ -1,4 +1,4 @@
-#include "process/io/prober.h"
+#include "process/servers/io/prober.h"
 
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/strand.hpp>
--- a/src/process/io/prober.h
+++ b/src/process/servers/io/prober.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_PROBER_H_
-#define PROCESS_IO_PROBER_H_
+#ifndef PROCESS_SERVERS_IO_PROBER_H_
+#define PROCESS_SERVERS_IO_PROBER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
@@ -8,7 +8,7 @@
 
 #include "process/clock.h"
 #include "process/counters.h"
-#include "process/server_table.h"
+#include "process/servers/server_table.h"
 
 namespace mangodoor {
 
@@ -38,4 +38,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_PROBER_H_
+#endif  // PROCESS_SERVERS_IO_PROBER_H_
--- a/src/process/latency.cc
+++ b/src/process/servers/latency.cc
@@ -1,4 +1,4 @@
-#include "process/latency.h"
+#include "process/servers/latency.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/latency.h
+++ b/src/process/servers/latency.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_LATENCY_H_
-#define PROCESS_LATENCY_H_
+#ifndef PROCESS_SERVERS_LATENCY_H_
+#define PROCESS_SERVERS_LATENCY_H_
 
 #include <array>
 #include <cstdint>
@@ -36,4 +36,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_LATENCY_H_
+#endif  // PROCESS_SERVERS_LATENCY_H_
--- a/src/process/outlier.cc
+++ b/src/process/servers/outlier.cc
@@ -1,4 +1,4 @@
-#include "process/outlier.h"
+#include "process/servers/outlier.h"
 
 #include <algorithm>
 
--- a/src/process/outlier.h
+++ b/src/process/servers/outlier.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_OUTLIER_H_
-#define PROCESS_OUTLIER_H_
+#ifndef PROCESS_SERVERS_OUTLIER_H_
+#define PROCESS_SERVERS_OUTLIER_H_
 
 #include "process/clock.h"
 
@@ -70,4 +70,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_OUTLIER_H_
+#endif  // PROCESS_SERVERS_OUTLIER_H_
--- a/src/process/probe_schedule.cc
+++ b/src/process/servers/probe_schedule.cc
@@ -1,6 +1,6 @@
-#include "process/probe_schedule.h"
+#include "process/servers/probe_schedule.h"
 
-#include "process/share_history.h"
+#include "process/servers/share_history.h"
 
 namespace mangodoor {
 
--- a/src/process/probe_schedule.h
+++ b/src/process/servers/probe_schedule.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_PROBE_SCHEDULE_H_
-#define PROCESS_PROBE_SCHEDULE_H_
+#ifndef PROCESS_SERVERS_PROBE_SCHEDULE_H_
+#define PROCESS_SERVERS_PROBE_SCHEDULE_H_
 
 #include "process/clock.h"
 
@@ -34,4 +34,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_PROBE_SCHEDULE_H_
+#endif  // PROCESS_SERVERS_PROBE_SCHEDULE_H_
--- a/src/process/server_pool.cc
+++ b/src/process/servers/server_pool.cc
@@ -1,4 +1,4 @@
-#include "process/server_pool.h"
+#include "process/servers/server_pool.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -1,20 +1,20 @@
-#ifndef PROCESS_SERVER_POOL_H_
-#define PROCESS_SERVER_POOL_H_
+#ifndef PROCESS_SERVERS_SERVER_POOL_H_
+#define PROCESS_SERVERS_SERVER_POOL_H_
 
 #include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
-#include "process/cold_start.h"
-#include "process/fair_queue.h"
-#include "process/latency.h"
-#include "process/outlier.h"
-#include "process/probe_schedule.h"
-#include "process/server_request.h"
-#include "process/server_score.h"
-#include "process/share_history.h"
-#include "process/status.h"
+#include "process/servers/cold_start.h"
+#include "process/servers/fair_queue.h"
+#include "process/servers/latency.h"
+#include "process/servers/outlier.h"
+#include "process/servers/probe_schedule.h"
+#include "process/servers/server_request.h"
+#include "process/servers/server_score.h"
+#include "process/servers/share_history.h"
+#include "process/status/status.h"
 #include "version/version.h"
 
 namespace mangodoor {
@@ -170,4 +170,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_SERVER_POOL_H_
+#endif  // PROCESS_SERVERS_SERVER_POOL_H_
--- a/src/process/server_request.h
+++ b/src/process/servers/server_request.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_SERVER_REQUEST_H_
-#define PROCESS_SERVER_REQUEST_H_
+#ifndef PROCESS_SERVERS_SERVER_REQUEST_H_
+#define PROCESS_SERVERS_SERVER_REQUEST_H_
 
 #include <functional>
 #include <optional>
@@ -8,7 +8,7 @@
 
 #include "process/clock.h"
 #include "process/error_kind.h"
-#include "process/server_state.h"
+#include "process/servers/server_state.h"
 #include "version/endpoint.h"
 #include "version/ids.h"
 
@@ -88,4 +88,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_SERVER_REQUEST_H_
+#endif  // PROCESS_SERVERS_SERVER_REQUEST_H_
--- a/src/process/server_score.cc
+++ b/src/process/servers/server_score.cc
@@ -1,4 +1,4 @@
-#include "process/server_score.h"
+#include "process/servers/server_score.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/server_score.h
+++ b/src/process/servers/server_score.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_SERVER_SCORE_H_
-#define PROCESS_SERVER_SCORE_H_
+#ifndef PROCESS_SERVERS_SERVER_SCORE_H_
+#define PROCESS_SERVERS_SERVER_SCORE_H_
 
 #include "process/clock.h"
 
@@ -29,4 +29,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_SERVER_SCORE_H_
+#endif  // PROCESS_SERVERS_SERVER_SCORE_H_
--- a/src/process/server_state.h
+++ b/src/process/servers/server_state.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_SERVER_STATE_H_
-#define PROCESS_SERVER_STATE_H_
+#ifndef PROCESS_SERVERS_SERVER_STATE_H_
+#define PROCESS_SERVERS_SERVER_STATE_H_
 
 #include "process/clock.h"
 #include "version/ids.h"
@@ -22,4 +22,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_SERVER_STATE_H_
+#endif  // PROCESS_SERVERS_SERVER_STATE_H_
--- a/src/process/server_status.cc
+++ b/src/process/servers/server_status.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <cstdio>
 
-#include "process/server_pool.h"
+#include "process/servers/server_pool.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/server_table.cc
+++ b/src/process/servers/server_table.cc
@@ -1,4 +1,4 @@
-#include "process/server_table.h"
+#include "process/servers/server_table.h"
 
 #include <utility>
 
--- a/src/process/server_table.h
+++ b/src/process/servers/server_table.h
@@ -1,15 +1,15 @@
-#ifndef PROCESS_SERVER_TABLE_H_
-#define PROCESS_SERVER_TABLE_H_
+#ifndef PROCESS_SERVERS_SERVER_TABLE_H_
+#define PROCESS_SERVERS_SERVER_TABLE_H_
 
 #include <optional>
 #include <vector>
 
 #include "process/clock.h"
 #include "process/ordered_mutex.h"
-#include "process/server_pool.h"
-#include "process/server_request.h"
-#include "process/server_state.h"
-#include "process/status.h"
+#include "process/servers/server_pool.h"
+#include "process/servers/server_request.h"
+#include "process/servers/server_state.h"
+#include "process/status/status.h"
 #include "version/version.h"
 
 namespace mangodoor {
@@ -84,4 +84,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_SERVER_TABLE_H_
+#endif  // PROCESS_SERVERS_SERVER_TABLE_H_
--- a/src/process/server_version.cc
+++ b/src/process/servers/server_version.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <unordered_set>
 
-#include "process/rendezvous.h"
-#include "process/server_pool.h"
+#include "process/membership/rendezvous.h"
+#include "process/servers/server_pool.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/share_history.cc
+++ b/src/process/servers/share_history.cc
@@ -1,8 +1,8 @@
-#include "process/share_history.h"
+#include "process/servers/share_history.h"
 
 #include <algorithm>
 
-#include "process/rendezvous.h"
+#include "process/membership/rendezvous.h"
 
 namespace mangodoor {
 
--- a/src/process/share_history.h
+++ b/src/process/servers/share_history.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_SHARE_HISTORY_H_
-#define PROCESS_SHARE_HISTORY_H_
+#ifndef PROCESS_SERVERS_SHARE_HISTORY_H_
+#define PROCESS_SERVERS_SHARE_HISTORY_H_
 
 #include <optional>
 #include <vector>
@@ -39,4 +39,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_SHARE_HISTORY_H_
+#endif  // PROCESS_SERVERS_SHARE_HISTORY_H_
--- a/src/process/instance_status.cc
+++ b/src/process/status/instance_status.cc
@@ -1,4 +1,4 @@
-#include "process/instance_status.h"
+#include "process/status/instance_status.h"
 
 #include "process/tables.h"
 
--- a/src/process/instance_status.h
+++ b/src/process/status/instance_status.h
@@ -1,12 +1,12 @@
-#ifndef PROCESS_INSTANCE_STATUS_H_
-#define PROCESS_INSTANCE_STATUS_H_
+#ifndef PROCESS_STATUS_INSTANCE_STATUS_H_
+#define PROCESS_STATUS_INSTANCE_STATUS_H_
 
 #include <string>
 #include <vector>
 
 #include "process/clock.h"
-#include "process/membership.h"
-#include "process/status.h"
+#include "process/membership/membership.h"
+#include "process/status/status.h"
 
 namespace mangodoor {
 
@@ -55,4 +55,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_INSTANCE_STATUS_H_
+#endif  // PROCESS_STATUS_INSTANCE_STATUS_H_
--- a/src/process/io/admin_pages.cc
+++ b/src/process/status/io/admin_pages.cc
@@ -1,8 +1,8 @@
-#include "process/io/admin_pages.h"
+#include "process/status/io/admin_pages.h"
 
-#include "process/instance_status.h"
-#include "process/io/metrics.h"
-#include "process/io/status_codec.h"
+#include "process/status/instance_status.h"
+#include "process/status/io/metrics.h"
+#include "process/status/io/status_codec.h"
 #include "process/tables.h"
 
 namespace mangodoor {
--- a/src/process/io/admin_pages.h
+++ b/src/process/status/io/admin_pages.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_ADMIN_PAGES_H_
-#define PROCESS_IO_ADMIN_PAGES_H_
+#ifndef PROCESS_STATUS_IO_ADMIN_PAGES_H_
+#define PROCESS_STATUS_IO_ADMIN_PAGES_H_
 
 #include <string>
 #include <string_view>
@@ -27,4 +27,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_ADMIN_PAGES_H_
+#endif  // PROCESS_STATUS_IO_ADMIN_PAGES_H_
--- a/src/process/io/admin_server.cc
+++ b/src/process/status/io/admin_server.cc
@@ -1,4 +1,4 @@
-#include "process/io/admin_server.h"
+#include "process/status/io/admin_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -12,8 +12,8 @@
 #include <string>
 #include <utility>
 
-#include "process/instance_status.h"
-#include "process/io/admin_pages.h"
+#include "process/status/instance_status.h"
+#include "process/status/io/admin_pages.h"
 #include "process/tables.h"
 
 namespace mangodoor {
--- a/src/process/io/admin_server.h
+++ b/src/process/status/io/admin_server.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_ADMIN_SERVER_H_
-#define PROCESS_IO_ADMIN_SERVER_H_
+#ifndef PROCESS_STATUS_IO_ADMIN_SERVER_H_
+#define PROCESS_STATUS_IO_ADMIN_SERVER_H_
 
 #include <memory>
 
@@ -44,4 +44,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_ADMIN_SERVER_H_
+#endif  // PROCESS_STATUS_IO_ADMIN_SERVER_H_
--- a/src/process/io/metrics.cc
+++ b/src/process/status/io/metrics.cc
@@ -1,4 +1,4 @@
-#include "process/io/metrics.h"
+#include "process/status/io/metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "process/counters.h"
-#include "process/instance_status.h"
+#include "process/status/instance_status.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/io/metrics.h
+++ b/src/process/status/io/metrics.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_IO_METRICS_H_
-#define PROCESS_IO_METRICS_H_
+#ifndef PROCESS_STATUS_IO_METRICS_H_
+#define PROCESS_STATUS_IO_METRICS_H_
 
 #include <string>
 
@@ -17,4 +17,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_METRICS_H_
+#endif  // PROCESS_STATUS_IO_METRICS_H_
--- a/src/process/io/status_codec.cc
+++ b/src/process/status/io/status_codec.cc
@@ -1,4 +1,4 @@
-#include "process/io/status_codec.h"
+#include "process/status/io/status_codec.h"
 
 #include <cmath>
 #include <nlohmann/json.hpp>
--- a/src/process/io/status_codec.h
+++ b/src/process/status/io/status_codec.h
@@ -1,11 +1,11 @@
-#ifndef PROCESS_IO_STATUS_CODEC_H_
-#define PROCESS_IO_STATUS_CODEC_H_
+#ifndef PROCESS_STATUS_IO_STATUS_CODEC_H_
+#define PROCESS_STATUS_IO_STATUS_CODEC_H_
 
 #include <string>
 #include <vector>
 
-#include "process/audit_table.h"
-#include "process/instance_status.h"
+#include "process/status/instance_status.h"
+#include "process/versions/audit_table.h"
 
 namespace mangodoor {
 
@@ -23,4 +23,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_STATUS_CODEC_H_
+#endif  // PROCESS_STATUS_IO_STATUS_CODEC_H_
--- a/src/process/io/status_text.cc
+++ b/src/process/status/io/status_text.cc
@@ -1,4 +1,4 @@
-#include "process/io/status_text.h"
+#include "process/status/io/status_text.h"
 
 #include <algorithm>
 #include <array>
--- a/src/process/io/status_text.h
+++ b/src/process/status/io/status_text.h
@@ -1,11 +1,11 @@
-#ifndef PROCESS_IO_STATUS_TEXT_H_
-#define PROCESS_IO_STATUS_TEXT_H_
+#ifndef PROCESS_STATUS_IO_STATUS_TEXT_H_
+#define PROCESS_STATUS_IO_STATUS_TEXT_H_
 
 #include <string>
 #include <vector>
 
-#include "process/audit_table.h"
-#include "process/instance_status.h"
+#include "process/status/instance_status.h"
+#include "process/versions/audit_table.h"
 
 namespace mangodoor {
 
@@ -17,4 +17,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_STATUS_TEXT_H_
+#endif  // PROCESS_STATUS_IO_STATUS_TEXT_H_
--- a/src/process/status.h
+++ b/src/process/status/status.h
@@ -1,13 +1,13 @@
-#ifndef PROCESS_STATUS_H_
-#define PROCESS_STATUS_H_
+#ifndef PROCESS_STATUS_STATUS_H_
+#define PROCESS_STATUS_STATUS_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "process/membership.h"
-#include "process/peer_message.h"
-#include "process/server_state.h"
+#include "process/membership/membership.h"
+#include "process/peers/peer_message.h"
+#include "process/servers/server_state.h"
 
 namespace mangodoor {
 
@@ -51,4 +51,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_STATUS_H_
+#endif  // PROCESS_STATUS_STATUS_H_
--- a/src/process/tables.h
+++ b/src/process/tables.h
@@ -1,12 +1,12 @@
 #ifndef PROCESS_TABLES_H_
 #define PROCESS_TABLES_H_
 
-#include "process/account_table.h"
-#include "process/audit_table.h"
+#include "process/accounts/account_table.h"
 #include "process/counters.h"
-#include "process/membership_table.h"
-#include "process/server_table.h"
-#include "process/version_table.h"
+#include "process/membership/membership_table.h"
+#include "process/servers/server_table.h"
+#include "process/versions/audit_table.h"
+#include "process/versions/version_table.h"
 
 namespace mangodoor {
 
--- a/src/process/audit_table.cc
+++ b/src/process/versions/audit_table.cc
@@ -1,4 +1,4 @@
-#include "process/audit_table.h"
+#include "process/versions/audit_table.h"
 
 #include <utility>
 
--- a/src/process/audit_table.h
+++ b/src/process/versions/audit_table.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_AUDIT_TABLE_H_
-#define PROCESS_AUDIT_TABLE_H_
+#ifndef PROCESS_VERSIONS_AUDIT_TABLE_H_
+#define PROCESS_VERSIONS_AUDIT_TABLE_H_
 
 #include <deque>
 #include <string>
@@ -36,4 +36,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_AUDIT_TABLE_H_
+#endif  // PROCESS_VERSIONS_AUDIT_TABLE_H_
--- a/src/process/document_request.cc
+++ b/src/process/versions/document_request.cc
@@ -1,4 +1,4 @@
-#include "process/document_request.h"
+#include "process/versions/document_request.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/process/document_request.h
+++ b/src/process/versions/document_request.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_DOCUMENT_REQUEST_H_
-#define PROCESS_DOCUMENT_REQUEST_H_
+#ifndef PROCESS_VERSIONS_DOCUMENT_REQUEST_H_
+#define PROCESS_VERSIONS_DOCUMENT_REQUEST_H_
 
 #include <optional>
 #include <set>
@@ -51,4 +51,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_DOCUMENT_REQUEST_H_
+#endif  // PROCESS_VERSIONS_DOCUMENT_REQUEST_H_
--- a/src/process/document_source.h
+++ b/src/process/versions/document_source.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_DOCUMENT_SOURCE_H_
-#define PROCESS_DOCUMENT_SOURCE_H_
+#ifndef PROCESS_VERSIONS_DOCUMENT_SOURCE_H_
+#define PROCESS_VERSIONS_DOCUMENT_SOURCE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -46,4 +46,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_DOCUMENT_SOURCE_H_
+#endif  // PROCESS_VERSIONS_DOCUMENT_SOURCE_H_
--- a/src/process/io/document_source.cc
+++ b/src/process/versions/io/document_source.cc
@@ -1,4 +1,4 @@
-#include "process/io/document_source.h"
+#include "process/versions/io/document_source.h"
 
 #include <boost/beast/http/field.hpp>
 #include <utility>
--- a/src/process/io/document_source.h
+++ b/src/process/versions/io/document_source.h
@@ -1,10 +1,10 @@
-#ifndef PROCESS_IO_DOCUMENT_SOURCE_H_
-#define PROCESS_IO_DOCUMENT_SOURCE_H_
+#ifndef PROCESS_VERSIONS_IO_DOCUMENT_SOURCE_H_
+#define PROCESS_VERSIONS_IO_DOCUMENT_SOURCE_H_
 
 #include <boost/asio/io_context.hpp>
 
 #include "process/counters.h"
-#include "process/document_source.h"
+#include "process/versions/document_source.h"
 #include "version/endpoint.h"
 
 namespace mangodoor {
@@ -28,4 +28,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_DOCUMENT_SOURCE_H_
+#endif  // PROCESS_VERSIONS_IO_DOCUMENT_SOURCE_H_
--- a/src/process/io/spread_runner.cc
+++ b/src/process/versions/io/spread_runner.cc
@@ -1,8 +1,8 @@
-#include "process/io/spread_runner.h"
+#include "process/versions/io/spread_runner.h"
 
 #include <utility>
 
-#include "process/io/version_audit.h"
+#include "process/versions/io/version_audit.h"
 #include "version/io/digest.h"
 #include "version/io/document_codec.h"
 
--- a/src/process/io/spread_runner.h
+++ b/src/process/versions/io/spread_runner.h
@@ -1,16 +1,16 @@
-#ifndef PROCESS_IO_SPREAD_RUNNER_H_
-#define PROCESS_IO_SPREAD_RUNNER_H_
+#ifndef PROCESS_VERSIONS_IO_SPREAD_RUNNER_H_
+#define PROCESS_VERSIONS_IO_SPREAD_RUNNER_H_
 
 #include <functional>
 #include <string>
 #include <vector>
 
 #include "process/clock.h"
-#include "process/document_source.h"
-#include "process/instance_list_source.h"
-#include "process/peer_transport.h"
+#include "process/membership/instance_list_source.h"
+#include "process/peers/peer_transport.h"
 #include "process/tables.h"
-#include "process/version_spread.h"
+#include "process/versions/document_source.h"
+#include "process/versions/version_spread.h"
 
 namespace mangodoor {
 
@@ -77,4 +77,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_SPREAD_RUNNER_H_
+#endif  // PROCESS_VERSIONS_IO_SPREAD_RUNNER_H_
--- a/src/process/io/version_audit.cc
+++ b/src/process/versions/io/version_audit.cc
@@ -1,10 +1,10 @@
-#include "process/io/version_audit.h"
+#include "process/versions/io/version_audit.h"
 
 #include <utility>
 
-#include "process/audit_table.h"
 #include "process/clock.h"
 #include "process/io/log.h"
+#include "process/versions/audit_table.h"
 #include "version/document_diff.h"
 
 namespace mangodoor {
--- a/src/process/io/version_audit.h
+++ b/src/process/versions/io/version_audit.h
@@ -1,9 +1,9 @@
-#ifndef PROCESS_IO_VERSION_AUDIT_H_
-#define PROCESS_IO_VERSION_AUDIT_H_
+#ifndef PROCESS_VERSIONS_IO_VERSION_AUDIT_H_
+#define PROCESS_VERSIONS_IO_VERSION_AUDIT_H_
 
 #include <string>
 
-#include "process/version_table.h"
+#include "process/versions/version_table.h"
 
 namespace mangodoor {
 
@@ -32,4 +32,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_IO_VERSION_AUDIT_H_
+#endif  // PROCESS_VERSIONS_IO_VERSION_AUDIT_H_
--- a/src/process/read_schedule.cc
+++ b/src/process/versions/read_schedule.cc
@@ -1,8 +1,8 @@
-#include "process/read_schedule.h"
+#include "process/versions/read_schedule.h"
 
 #include <algorithm>
 
-#include "process/rendezvous.h"
+#include "process/membership/rendezvous.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/read_schedule.h
+++ b/src/process/versions/read_schedule.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_READ_SCHEDULE_H_
-#define PROCESS_READ_SCHEDULE_H_
+#ifndef PROCESS_VERSIONS_READ_SCHEDULE_H_
+#define PROCESS_VERSIONS_READ_SCHEDULE_H_
 
 #include <optional>
 #include <string>
@@ -75,4 +75,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_READ_SCHEDULE_H_
+#endif  // PROCESS_VERSIONS_READ_SCHEDULE_H_
--- a/src/process/spread_options.h
+++ b/src/process/versions/spread_options.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_SPREAD_OPTIONS_H_
-#define PROCESS_SPREAD_OPTIONS_H_
+#ifndef PROCESS_VERSIONS_SPREAD_OPTIONS_H_
+#define PROCESS_VERSIONS_SPREAD_OPTIONS_H_
 
 namespace mangodoor {
 
@@ -19,4 +19,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_SPREAD_OPTIONS_H_
+#endif  // PROCESS_VERSIONS_SPREAD_OPTIONS_H_
--- a/src/process/version_spread.cc
+++ b/src/process/versions/version_spread.cc
@@ -1,9 +1,9 @@
-#include "process/version_spread.h"
+#include "process/versions/version_spread.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "process/join.h"
+#include "process/membership/join.h"
 
 namespace mangodoor {
 namespace {
--- a/src/process/version_spread.h
+++ b/src/process/versions/version_spread.h
@@ -1,11 +1,11 @@
-#ifndef PROCESS_VERSION_SPREAD_H_
-#define PROCESS_VERSION_SPREAD_H_
+#ifndef PROCESS_VERSIONS_VERSION_SPREAD_H_
+#define PROCESS_VERSIONS_VERSION_SPREAD_H_
 
 #include <vector>
 
-#include "process/membership_table.h"
-#include "process/peer_message.h"
-#include "process/version_table.h"
+#include "process/membership/membership_table.h"
+#include "process/peers/peer_message.h"
+#include "process/versions/version_table.h"
 
 namespace mangodoor {
 
@@ -98,4 +98,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_VERSION_SPREAD_H_
+#endif  // PROCESS_VERSIONS_VERSION_SPREAD_H_
--- a/src/process/version_table.cc
+++ b/src/process/versions/version_table.cc
@@ -1,4 +1,4 @@
-#include "process/version_table.h"
+#include "process/versions/version_table.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/version_table.h
+++ b/src/process/versions/version_table.h
@@ -1,5 +1,5 @@
-#ifndef PROCESS_VERSION_TABLE_H_
-#define PROCESS_VERSION_TABLE_H_
+#ifndef PROCESS_VERSIONS_VERSION_TABLE_H_
+#define PROCESS_VERSIONS_VERSION_TABLE_H_
 
 #include <deque>
 #include <optional>
@@ -7,11 +7,11 @@
 #include <vector>
 
 #include "process/clock.h"
-#include "process/document_request.h"
-#include "process/freshness.h"
+#include "process/membership/freshness.h"
 #include "process/ordered_mutex.h"
-#include "process/read_schedule.h"
-#include "process/spread_options.h"
+#include "process/versions/document_request.h"
+#include "process/versions/read_schedule.h"
+#include "process/versions/spread_options.h"
 #include "version/version.h"
 
 namespace mangodoor {
@@ -84,4 +84,4 @@
 
 }  // namespace mangodoor
 
-#endif  // PROCESS_VERSION_TABLE_H_
+#endif  // PROCESS_VERSIONS_VERSION_TABLE_H_
--- a/src/programs/status.cc
+++ b/src/programs/status.cc
@@ -4,8 +4,8 @@
 
 #include "process/io/blocking_get.h"
 #include "process/io/command_line.h"
-#include "process/io/status_codec.h"
-#include "process/io/status_text.h"
+#include "process/status/io/status_codec.h"
+#include "process/status/io/status_text.h"
 
 namespace mangodoor {
 namespace {
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -6,7 +6,7 @@
 
 #include "process/clock.h"
 #include "process/error_kind.h"
-#include "process/server_table.h"
+#include "process/servers/server_table.h"
 #include "version/document.h"
 
 namespace mangodoor {
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -5,8 +5,8 @@
 #include <random>
 #include <utility>
 
-#include "process/attempt_table.h"
 #include "process/io/action_runner.h"
+#include "process/servers/attempt_table.h"
 #include "process/tables.h"
 
 namespace mangodoor {
--- a/src/request/io/attempt_run.cc
+++ b/src/request/io/attempt_run.cc
@@ -4,8 +4,8 @@
 #include <boost/beast/http/field.hpp>
 #include <utility>
 
-#include "process/attempt_table.h"
 #include "process/io/action_runner.h"
+#include "process/servers/attempt_table.h"
 #include "process/tables.h"
 #include "request/header_scan.h"
 #include "request/load_metrics.h"
--- a/src/request/io/request_run.cc
+++ b/src/request/io/request_run.cc
@@ -3,8 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "process/attempt_table.h"
 #include "process/io/action_runner.h"
+#include "process/servers/attempt_table.h"
 #include "process/tables.h"
 #include "request/deadline.h"
 #include "request/io/response_relay.h"
--- a/tests/connection/delivery_test.cc
+++ b/tests/connection/delivery_test.cc
@@ -4,7 +4,7 @@
 
 #include "connection/data_path_fixture.h"
 #include "connection/io/strand_signal.h"
-#include "process/io/prober.h"
+#include "process/servers/io/prober.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/membership/choose_addresses_test.cc
+++ b/tests/membership/choose_addresses_test.cc
@@ -4,7 +4,7 @@
 #include <set>
 
 #include "process/fake_clock.h"
-#include "process/membership_table.h"
+#include "process/membership/membership_table.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/membership/freshness_test.cc
+++ b/tests/membership/freshness_test.cc
@@ -1,11 +1,11 @@
-#include "process/freshness.h"
+#include "process/membership/freshness.h"
 
 #include <gtest/gtest.h>
 
-#include "process/contact.h"
 #include "process/fake_clock.h"
-#include "process/join.h"
-#include "process/peer_view.h"
+#include "process/membership/contact.h"
+#include "process/membership/join.h"
+#include "process/membership/peer_view.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/membership/peer_selection_test.cc
+++ b/tests/membership/peer_selection_test.cc
@@ -1,4 +1,4 @@
-#include "process/peer_selection.h"
+#include "process/membership/peer_selection.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/membership/planned_change_test.cc
+++ b/tests/membership/planned_change_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "process/fake_clock.h"
-#include "process/version_table.h"
+#include "process/versions/version_table.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/membership/reads_test.cc
+++ b/tests/membership/reads_test.cc
@@ -2,9 +2,9 @@
 
 #include <random>
 
-#include "process/document_request.h"
 #include "process/fake_clock.h"
-#include "process/read_schedule.h"
+#include "process/versions/document_request.h"
+#include "process/versions/read_schedule.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/operators/admin_server_test.cc
+++ b/tests/operators/admin_server_test.cc
@@ -1,4 +1,4 @@
-#include "process/io/admin_server.h"
+#include "process/status/io/admin_server.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -10,9 +10,9 @@
 #include <nlohmann/json.hpp>
 
 #include "process/fake_clock.h"
-#include "process/instance_status.h"
-#include "process/io/admin_pages.h"
-#include "process/io/status_codec.h"
+#include "process/status/instance_status.h"
+#include "process/status/io/admin_pages.h"
+#include "process/status/io/status_codec.h"
 #include "process/tables.h"
 #include "process/worker_pool.h"
 
--- a/tests/operators/documentation_test.cc
+++ b/tests/operators/documentation_test.cc
@@ -8,9 +8,9 @@
 
 #include "operators/repository.h"
 #include "process/counters.h"
-#include "process/instance_status.h"
-#include "process/io/metrics.h"
 #include "process/io/settings.h"
+#include "process/status/instance_status.h"
+#include "process/status/io/metrics.h"
 #include "version/document_limits.h"
 #include "version/io/document_codec.h"
 #include "version/sample_document.h"
--- a/tests/operators/load_caller_test.cc
+++ b/tests/operators/load_caller_test.cc
@@ -1,4 +1,4 @@
-#include "process/io/load_caller.h"
+#include "process/load/io/load_caller.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/operators/load_decisions_test.cc
+++ b/tests/operators/load_decisions_test.cc
@@ -1,9 +1,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include "process/address_book.h"
-#include "process/call_result.h"
-#include "process/load_report.h"
+#include "process/load/call_result.h"
+#include "process/load/load_report.h"
+#include "process/membership/address_book.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/operators/status_test.cc
+++ b/tests/operators/status_test.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 
 #include "process/io/log.h"
-#include "process/io/status_codec.h"
-#include "process/io/status_text.h"
+#include "process/status/io/status_codec.h"
+#include "process/status/io/status_text.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/peers/hostile_peer_test.cc
+++ b/tests/peers/hostile_peer_test.cc
@@ -8,7 +8,7 @@
 
 #include "connection/io/peer_handshake.h"
 #include "peers/test_fleet.h"
-#include "process/io/peer_codec.h"
+#include "process/peers/io/peer_codec.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/peers/peer_codec_test.cc
+++ b/tests/peers/peer_codec_test.cc
@@ -1,11 +1,11 @@
-#include "process/io/peer_codec.h"
+#include "process/peers/io/peer_codec.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <nlohmann/json.hpp>
 
-#include "process/io/cbor_check.h"
+#include "process/peers/io/cbor_check.h"
 
 namespace mangodoor {
 namespace {
--- a/tests/peers/sources_test.cc
+++ b/tests/peers/sources_test.cc
@@ -5,8 +5,8 @@
 #include <thread>
 
 #include "peers/test_fleet.h"
-#include "process/io/document_source.h"
-#include "process/io/instance_list_source.h"
+#include "process/membership/io/instance_list_source.h"
+#include "process/versions/io/document_source.h"
 #include "standins/http_standin.h"
 
 namespace mangodoor {
--- a/tests/routing/cold_start_test.cc
+++ b/tests/routing/cold_start_test.cc
@@ -1,9 +1,9 @@
-#include "process/cold_start.h"
+#include "process/servers/cold_start.h"
 
 #include <gtest/gtest.h>
 
-#include "process/rendezvous.h"
-#include "process/share_history.h"
+#include "process/membership/rendezvous.h"
+#include "process/servers/share_history.h"
 #include "routing/fleet_document.h"
 
 namespace mangodoor {
--- a/tests/routing/fleet_model.h
+++ b/tests/routing/fleet_model.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "process/server_pool.h"
+#include "process/servers/server_pool.h"
 #include "routing/fleet_document.h"
 
 namespace mangodoor {
--- a/tests/routing/outlier_test.cc
+++ b/tests/routing/outlier_test.cc
@@ -1,8 +1,8 @@
-#include "process/outlier.h"
+#include "process/servers/outlier.h"
 
 #include <gtest/gtest.h>
 
-#include "process/server_pool.h"
+#include "process/servers/server_pool.h"
 #include "routing/fleet_document.h"
 
 namespace mangodoor {
--- a/tests/routing/server_choice_test.cc
+++ b/tests/routing/server_choice_test.cc
@@ -1,7 +1,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include "process/server_table.h"
+#include "process/servers/server_table.h"
 #include "routing/fleet_document.h"
 
 namespace mangodoor {
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 forbidden='#include <(boost/(asio|beast)|websocketpp|nlohmann|easylogging|prometheus|openssl)'
 files=$(find src/request src/connection src/version src/process \
-  -maxdepth 1 -name '*.h' -o -maxdepth 1 -name '*.cc' | grep -v worker_pool)
+  \( -name '*.h' -o -name '*.cc' \) | grep -vE '/io/|worker_pool')
 status=0
 if grep -nE "$forbidden" $files; then
   echo "error: decision files must not include I/O or codec libraries" >&2
