Let the document name hosts, splits, priorities and discovered services

Cause: the users' platform routes by host, divides routes by weight, states what may be repeated for each route, gives accounts and routes priorities, and lets backend servers register themselves. The document could say none of it.

Ruled out: a second document type for the platform; its checks, diffs and indexes would stand twice.

Before: routes by path only. After: the fields host, split, never_repeat, target_latency_ms, max_attempts, priority, discovered, health_path, connection_limit, cold_time_ms, cold_rate_per_s, limited, caller_limits and limit_policy, each checked, in the schema and on the page. Existing documents mean what they did.

The data path does not use all of them yet.

--- a/src/request/attempt.cc
+++ b/src/request/attempt.cc
@@ -43,8 +43,9 @@
 bool IsIdempotent(std::string_view method, const Route& route) {
   constexpr std::array<std::string_view, 5> kMethods = {
       "GET", "HEAD", "OPTIONS", "PUT", "DELETE"};
-  return route.idempotent ||
-         std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
+  if (route.repeats != RepeatRule::kByMethod)
+    return route.repeats == RepeatRule::kAlways;
+  return std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
 }
 
 AttemptHistory AddAttempt(AttemptHistory history, const AttemptReport& report) {
--- a/src/request/authorisation.cc
+++ b/src/request/authorisation.cc
@@ -12,9 +12,10 @@
 }  // namespace
 
 Authorisation Authorise(const Version& version,
+                        std::string_view host,
                         std::string_view path,
                         const std::string& key_digest) {
-  const Route* route = FindRoute(version, path);
+  const Route* route = FindRoute(version, host, path);
   if (!route)
     return Refuse(ErrorKind::kRouteUnknown);
   Authorisation result;
--- a/src/request/authorisation.h
+++ b/src/request/authorisation.h
@@ -19,10 +19,12 @@
 };
 
 /**
- * Finds the route of `path` and the client account of the key. `key_digest`
- * is the SHA-256 of the key in hexadecimal, empty if none was presented.
+ * Finds the route of `host` and `path`, and the client account of the key.
+ * `key_digest` is the SHA-256 of the key in hexadecimal, empty if none was
+ * presented.
  */
 Authorisation Authorise(const Version& version,
+                        std::string_view host,
                         std::string_view path,
                         const std::string& key_digest);
 
--- a/src/request/io/attempt_run.cc
+++ b/src/request/io/attempt_run.cc
@@ -108,7 +108,7 @@
   if (current == request_.version)
     return std::nullopt;
   const Authorisation now_allowed =
-      Authorise(*current, request_.path, request_.key_digest);
+      Authorise(*current, request_.host, request_.path, request_.key_digest);
   if (now_allowed.error)
     return now_allowed.error;
   // The server was chosen, and the token taken, for these.
--- a/src/request/io/outgoing_request.h
+++ b/src/request/io/outgoing_request.h
@@ -15,6 +15,7 @@
   /** The version that allowed the request. */
   VersionPtr version;
   Authorisation authorisation;
+  std::string host;
   std::string path;
   std::string key_digest;
   TimePoint deadline;
--- a/src/request/io/request_run.cc
+++ b/src/request/io/request_run.cc
@@ -122,10 +122,11 @@
   request_.version = VersionInForce(context_.tables.versions);
   if (!request_.version)
     return ErrorKind::kConfigurationMissing;
+  request_.host = std::string(View(header_[http::field::host]));
   request_.path = std::string(View(header_.target()));
   request_.key_digest = KeyDigest();
-  request_.authorisation =
-      Authorise(*request_.version, request_.path, request_.key_digest);
+  request_.authorisation = Authorise(*request_.version, request_.host,
+                                     request_.path, request_.key_digest);
   if (request_.authorisation.error)
     return request_.authorisation.error;
   const Route& route = *request_.authorisation.route;
--- a/src/version/document_check.cc
+++ b/src/version/document_check.cc
@@ -88,7 +88,8 @@
     if (data_centre.in_service)
       entry_addresses_in_service += addresses.size();
   }
-  if (entry_addresses_in_service == 0) {
+  if (entry_addresses_in_service == 0 &&
+      checker.document.limit_policy == LimitPolicy::kEntryAddresses) {
     checker.faults.push_back(
         {"/data_centres", "none in service has an entry address",
          "at least one data centre in service with an entry address"});
@@ -121,7 +122,14 @@
                service.probe_budget_per_s, kProbeBudgetRange);
     CheckRange(At(checker, path + "/queue_limit"), int64_t{service.queue_limit},
                kQueueLimitRange);
-    if (service.servers.empty()) {
+    CheckPathPrefix(At(checker, path + "/health_path"), service.health_path);
+    CheckRange(At(checker, path + "/connection_limit"),
+               int64_t{service.connection_limit}, kConnectionLimitRange);
+    CheckRange(At(checker, path + "/cold_time_ms"), service.cold_time,
+               kColdTimeRangeMs);
+    CheckRange(At(checker, path + "/cold_rate_per_s"), service.cold_rate_per_s,
+               kColdRateRange);
+    if (service.servers.empty() && !service.discovered) {
       checker.faults.push_back(
           {path + "/servers", "an empty list", "at least one backend server"});
     }
@@ -130,18 +138,52 @@
   }
 }
 
+void CheckTargets(Checker& checker,
+                  const std::string& path,
+                  const Route& route) {
+  if (route.split.empty()) {
+    CheckReference(At(checker, path + "/service"), route.service.value(),
+                   checker.services, "service");
+    return;
+  }
+  if (!route.service.empty()) {
+    checker.faults.push_back({path + "/service", Shown(route.service.value()),
+                              "nothing, as \"split\" names the services"});
+  }
+  int64_t weights = 0;
+  for (size_t i = 0; i < route.split.size(); ++i) {
+    const RoutePart& part = route.split[i];
+    const std::string place = Item(path + "/split", i);
+    CheckReference(At(checker, place + "/service"), part.service.value(),
+                   checker.services, "service");
+    CheckRange(At(checker, place + "/weight"), int64_t{part.weight},
+               kPartWeightRange);
+    weights += part.weight;
+  }
+  if (weights <= 0) {
+    checker.faults.push_back(
+        {path + "/split", "no weight above 0", "at least one weight above 0"});
+  }
+}
+
 void CheckRoutes(Checker& checker) {
   for (size_t i = 0; i < checker.document.routes.size(); ++i) {
     const Route& route = checker.document.routes[i];
     const std::string path = Item("/routes", i);
     const FieldPlace prefix = At(checker, path + "/path_prefix");
     CheckPathPrefix(prefix, route.path_prefix);
-    CheckUnique(prefix, route.path_prefix, Shown(route.path_prefix),
-                checker.prefixes);
-    CheckReference(At(checker, path + "/service"), route.service.value(),
-                   checker.services, "service");
+    CheckHost(At(checker, path + "/host"), route.host);
+    CheckUnique(prefix, route.host + route.path_prefix,
+                Shown(route.host + route.path_prefix), checker.prefixes);
+    CheckTargets(checker, path, route);
     CheckRange(At(checker, path + "/timeout_ms"), route.timeout,
                kTimeoutRangeMs);
+    CheckRange(At(checker, path + "/target_latency_ms"), route.target_latency,
+               kTargetLatencyRangeMs);
+    CheckRange(At(checker, path + "/max_attempts"), int64_t{route.max_attempts},
+               kMaxAttemptsRange);
+    CheckRange(At(checker, path + "/priority"), int64_t{route.priority},
+               kPriorityRange);
   }
 }
 
@@ -150,9 +192,14 @@
     const ClientAccount& account = checker.document.client_accounts[i];
     const std::string path = Item("/client_accounts", i);
     CheckId(At(checker, path + "/id"), account.id.value(), checker.accounts);
-    CheckRange(At(checker, path + "/rate_per_s"), account.rate_per_s,
-               kRateRange);
-    CheckRange(At(checker, path + "/burst"), account.burst, kBurstRange);
+    if (account.limited) {
+      CheckRange(At(checker, path + "/rate_per_s"), account.rate_per_s,
+                 kRateRange);
+      CheckRange(At(checker, path + "/burst"), account.burst, kBurstRange);
+    }
+    if (account.priority)
+      CheckRange(At(checker, path + "/priority"), int64_t{*account.priority},
+                 kPriorityRange);
     CheckRange(At(checker, path + "/weight"), int64_t{account.weight},
                kWeightRange);
   }
@@ -215,6 +262,8 @@
     if (data_centre.in_service)
       in_service.insert(data_centre.id.value());
   }
+  if (checker.document.limit_policy != LimitPolicy::kEntryAddresses)
+    return;
   const auto& changes = checker.document.planned_changes;
   for (const size_t index : OrderByTime(changes)) {
     const PlannedChange& change = changes[index];
--- a/src/version/document_diff.cc
+++ b/src/version/document_diff.cc
@@ -101,7 +101,16 @@
 }
 
 std::string Subject(const Route& route) {
-  return "route " + route.path_prefix;
+  return "route " + route.host + route.path_prefix;
+}
+
+std::string SplitText(const Route& route) {
+  std::string text;
+  for (const RoutePart& part : route.split) {
+    text += (text.empty() ? "" : ", ") + part.service.value() + ":" +
+            std::to_string(part.weight);
+  }
+  return text;
 }
 
 void DescribeEntryAddresses(Lines& lines,
@@ -222,7 +231,9 @@
 void DescribeRoutes(Lines& lines,
                     const Document& before,
                     const Document& after) {
-  const auto prefix_of = [](const Route& route) { return route.path_prefix; };
+  const auto prefix_of = [](const Route& route) {
+    return route.host + route.path_prefix;
+  };
   Compare(
       IndexByName(before.routes, prefix_of),
       IndexByName(after.routes, prefix_of),
@@ -239,10 +250,18 @@
         AddChange(lines, subject, "service", old_one.service, new_one.service);
         AddChange(lines, subject, "open", YesNo(old_one.open),
                   YesNo(new_one.open));
-        AddChange(lines, subject, "idempotent", YesNo(old_one.idempotent),
-                  YesNo(new_one.idempotent));
+        AddChange(lines, subject, "split", SplitText(old_one),
+                  SplitText(new_one));
+        AddChange(lines, subject, "repeats", std::string(Name(old_one.repeats)),
+                  std::string(Name(new_one.repeats)));
         AddChange(lines, subject, "time limit", old_one.timeout,
                   new_one.timeout);
+        AddChange(lines, subject, "target latency", old_one.target_latency,
+                  new_one.target_latency);
+        AddChange(lines, subject, "attempts", int64_t{old_one.max_attempts},
+                  int64_t{new_one.max_attempts});
+        AddChange(lines, subject, "priority", int64_t{old_one.priority},
+                  int64_t{new_one.priority});
       });
 }
 
--- a/src/version/document_limits.h
+++ b/src/version/document_limits.h
@@ -21,6 +21,7 @@
 
 constexpr size_t kMaxNameLength = 64;
 constexpr size_t kMaxPathLength = 1024;
+constexpr size_t kMaxHostLength = 253;
 constexpr size_t kDigestLength = 64;
 
 // Paths below this prefix are answered by the instance itself.
@@ -36,6 +37,17 @@
 constexpr Range<double> kProbeBudgetRange{0.01, 1000};
 constexpr Range<int64_t> kQueueLimitRange{1, 100000};
 constexpr Range<int64_t> kTimeoutRangeMs{1, 3600000};
+constexpr Range<int64_t> kTargetLatencyRangeMs{0, 3600000};
+constexpr Range<int64_t> kMaxAttemptsRange{1, 100};
+constexpr Range<int64_t> kPriorityRange{0, 1000};
+constexpr Range<int64_t> kPartWeightRange{0, 1000000};
+constexpr Range<int64_t> kColdTimeRangeMs{0, 3600000};
+constexpr Range<double> kColdRateRange{0, 1000000};
+
+constexpr Range<int64_t> kHeaderBytesRange{256, 1048576};
+constexpr Range<int64_t> kBodyBytesRange{0, int64_t{1} << 53};
+constexpr Range<int64_t> kHeaderTimeRangeMs{1, 3600000};
+constexpr Range<int64_t> kIdleTimeRangeMs{1, 3600000};
 
 // The upper limits keep products of micro-tokens within 64 bits.
 constexpr Range<double> kRateRange{0.001, 10000000};
--- a/src/version/document_names.cc
+++ b/src/version/document_names.cc
@@ -46,6 +46,32 @@
   return std::nullopt;
 }
 
+const char* Name(LimitPolicy policy) {
+  return policy == LimitPolicy::kSharedUsage ? "shared_usage"
+                                             : "entry_addresses";
+}
+
+std::optional<LimitPolicy> LimitPolicyNamed(const std::string& name) {
+  for (const LimitPolicy policy :
+       {LimitPolicy::kEntryAddresses, LimitPolicy::kSharedUsage}) {
+    if (name == Name(policy))
+      return policy;
+  }
+  return std::nullopt;
+}
+
+const char* Name(RepeatRule rule) {
+  switch (rule) {
+    case RepeatRule::kByMethod:
+      return "by method";
+    case RepeatRule::kAlways:
+      return "always";
+    case RepeatRule::kNever:
+      return "never";
+  }
+  return "";
+}
+
 std::string ShortDigest(const std::string& digest) {
   return digest.substr(0, kShortDigestLength) + "…";
 }
--- a/src/version/document_names.h
+++ b/src/version/document_names.h
@@ -16,6 +16,13 @@
 const char* Name(ServerMode mode);
 std::optional<ServerMode> ServerModeNamed(const std::string& name);
 
+/** The name of a limit policy in a document. */
+const char* Name(LimitPolicy policy);
+std::optional<LimitPolicy> LimitPolicyNamed(const std::string& name);
+
+/** "by method", "always" or "never". */
+const char* Name(RepeatRule rule);
+
 /** The first digits of a key's digest, enough to tell keys apart. */
 std::string ShortDigest(const std::string& digest);
 
--- a/src/version/field_check.cc
+++ b/src/version/field_check.cc
@@ -76,6 +76,16 @@
   }
 }
 
+void CheckHost(const FieldPlace& place, const std::string& host) {
+  if (host.size() > kMaxHostLength ||
+      host.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789.-_") !=
+          std::string::npos) {
+    place.faults.push_back({place.path, Shown(host),
+                            "a lower-case host name of at most 253 characters "
+                            "without port, or nothing"});
+  }
+}
+
 void CheckDigest(const FieldPlace& place, const std::string& digest) {
   if (digest.size() != kDigestLength ||
       digest.find_first_not_of("0123456789abcdef") != std::string::npos) {
--- a/src/version/field_check.h
+++ b/src/version/field_check.h
@@ -39,6 +39,9 @@
 /** A path prefix without query, and outside the reserved path. */
 void CheckPathPrefix(const FieldPlace& place, const std::string& prefix);
 
+/** Name of a host without port; empty stands for all hosts. */
+void CheckHost(const FieldPlace& place, const std::string& host);
+
 /** The SHA-256 of a key. Never shows the value: it may be the key itself. */
 void CheckDigest(const FieldPlace& place, const std::string& digest);
 
--- a/src/version/io/document_codec.cc
+++ b/src/version/io/document_codec.cc
@@ -19,6 +19,9 @@
 // of 1 MB could make several hundred thousand.
 constexpr size_t kMaxFaults = 1000;
 
+// Stands for an absent priority; outside kPriorityRange.
+constexpr int kNoPriority = -1;
+
 // Decodes each entry of a list, until there are too many faults.
 template <typename Entry>
 void DecodeList(ObjectReader& parent,
@@ -80,8 +83,16 @@
 
 void DecodeService(ObjectReader& object, Service& service) {
   ReadId(object, "id", service.id);
-  DecodeList(object, "servers", Presence::kRequired, DecodeServer,
-             service.servers);
+  ReadFlag(object, "discovered", service.discovered);
+  DecodeList(object, "servers",
+             service.discovered ? Presence::kOptional : Presence::kRequired,
+             DecodeServer, service.servers);
+  ReadText(object, "health_path", Presence::kOptional, service.health_path);
+  ReadInteger(object, "connection_limit", Presence::kOptional,
+              kConnectionLimitRange, service.connection_limit);
+  ReadMilliseconds(object, "cold_time_ms", kColdTimeRangeMs, service.cold_time);
+  ReadNumber(object, "cold_rate_per_s", Presence::kOptional, kColdRateRange,
+             service.cold_rate_per_s);
   ReadInteger(object, "cold_concurrency", Presence::kOptional,
               kColdConcurrencyRange, service.cold_concurrency);
   ReadMilliseconds(object, "ramp_ms", kRampRangeMs, service.ramp);
@@ -92,19 +103,61 @@
               service.queue_limit);
 }
 
+void DecodePart(ObjectReader& object, RoutePart& part) {
+  ReadId(object, "service", part.service);
+  ReadInteger(object, "weight", Presence::kRequired, kPartWeightRange,
+              part.weight);
+}
+
+// "idempotent" says that all methods may be repeated, "never_repeat" that
+// none may; without either the method decides.
+void DecodeRepeats(ObjectReader& object, RepeatRule& repeats) {
+  bool always = false;
+  bool never = false;
+  ReadFlag(object, "idempotent", always);
+  ReadFlag(object, "never_repeat", never);
+  if (always && never) {
+    object.faults.push_back({object.path + "/never_repeat", "true",
+                             "false, as \"idempotent\" is true"});
+  }
+  if (always)
+    repeats = RepeatRule::kAlways;
+  else if (never)
+    repeats = RepeatRule::kNever;
+}
+
 void DecodeRoute(ObjectReader& object, Route& route) {
+  ReadText(object, "host", Presence::kOptional, route.host);
   ReadText(object, "path_prefix", Presence::kRequired, route.path_prefix);
-  ReadId(object, "service", route.service);
+  DecodeList(object, "split", Presence::kOptional, DecodePart, route.split);
+  std::string service;
+  ReadText(object, "service",
+           route.split.empty() ? Presence::kRequired : Presence::kOptional,
+           service);
+  route.service = ServiceId(service);
   ReadFlag(object, "open", route.open);
-  ReadFlag(object, "idempotent", route.idempotent);
+  DecodeRepeats(object, route.repeats);
   ReadMilliseconds(object, "timeout_ms", kTimeoutRangeMs, route.timeout);
+  ReadMilliseconds(object, "target_latency_ms", kTargetLatencyRangeMs,
+                   route.target_latency);
+  ReadInteger(object, "max_attempts", Presence::kOptional, kMaxAttemptsRange,
+              route.max_attempts);
+  ReadInteger(object, "priority", Presence::kOptional, kPriorityRange,
+              route.priority);
 }
 
 void DecodeAccount(ObjectReader& object, ClientAccount& account) {
   ReadId(object, "id", account.id);
-  ReadNumber(object, "rate_per_s", Presence::kRequired, kRateRange,
-             account.rate_per_s);
-  ReadInteger(object, "burst", Presence::kRequired, kBurstRange, account.burst);
+  ReadFlag(object, "limited", account.limited);
+  const Presence limits =
+      account.limited ? Presence::kRequired : Presence::kOptional;
+  ReadNumber(object, "rate_per_s", limits, kRateRange, account.rate_per_s);
+  ReadInteger(object, "burst", limits, kBurstRange, account.burst);
+  int priority = kNoPriority;
+  ReadInteger(object, "priority", Presence::kOptional, kPriorityRange,
+              priority);
+  if (priority != kNoPriority)
+    account.priority = priority;
   ReadInteger(object, "weight", Presence::kOptional, kWeightRange,
               account.weight);
 }
@@ -142,6 +195,40 @@
   change.kind = known.value_or(ChangeKind::kDataCentreIn);
 }
 
+void DecodeLimits(ObjectReader& parent, CallerLimits& limits) {
+  parent.known.emplace_back("caller_limits");
+  if (!parent.json)
+    return;
+  const auto found = parent.json->find("caller_limits");
+  if (found == parent.json->end())
+    return;
+  ObjectReader object =
+      OpenObject(*found, parent.path + "/caller_limits", parent.faults);
+  auto header_bytes = static_cast<int64_t>(limits.header_bytes);
+  auto body_bytes = static_cast<int64_t>(limits.body_bytes);
+  ReadInteger(object, "header_bytes", Presence::kOptional, kHeaderBytesRange,
+              header_bytes);
+  ReadInteger(object, "body_bytes", Presence::kOptional, kBodyBytesRange,
+              body_bytes);
+  limits.header_bytes = static_cast<size_t>(header_bytes);
+  limits.body_bytes = static_cast<uint64_t>(body_bytes);
+  ReadMilliseconds(object, "header_time_ms", kHeaderTimeRangeMs,
+                   limits.header_time);
+  ReadMilliseconds(object, "idle_time_ms", kIdleTimeRangeMs, limits.idle_time);
+  RefuseUnknownFields(object);
+}
+
+void DecodeLimitPolicy(ObjectReader& object, LimitPolicy& policy) {
+  std::string name = Name(policy);
+  ReadText(object, "limit_policy", Presence::kOptional, name);
+  if (const auto known = LimitPolicyNamed(name)) {
+    policy = *known;
+  } else {
+    object.faults.push_back({object.path + "/limit_policy", Shown(name),
+                             "\"entry_addresses\" or \"shared_usage\""});
+  }
+}
+
 Document DecodeFields(const Json& json, std::vector<Fault>& faults) {
   Document document;
   ObjectReader object = OpenObject(json, "", faults);
@@ -152,6 +239,8 @@
                    document.admission_wait);
   ReadMilliseconds(object, "address_keep_ms", kAddressKeepRangeMs,
                    document.address_keep);
+  DecodeLimits(object, document.limits);
+  DecodeLimitPolicy(object, document.limit_policy);
   DecodeList(object, "data_centres", Presence::kRequired, DecodeDataCentre,
              document.data_centres);
   DecodeList(object, "services", Presence::kRequired, DecodeService,
--- a/src/version/io/document_encoder.cc
+++ b/src/version/io/document_encoder.cc
@@ -44,17 +44,35 @@
   json["cold_max_ms"] = service.cold_max.count();
   json["probe_budget_per_s"] = service.probe_budget_per_s;
   json["queue_limit"] = service.queue_limit;
+  json["discovered"] = service.discovered;
+  json["health_path"] = service.health_path;
+  json["connection_limit"] = service.connection_limit;
+  json["cold_time_ms"] = service.cold_time.count();
+  json["cold_rate_per_s"] = service.cold_rate_per_s;
   json["servers"] = EncodeList(service.servers);
   return json;
 }
 
+Json Encode(const RoutePart& part) {
+  Json json;
+  json["service"] = part.service.value();
+  json["weight"] = part.weight;
+  return json;
+}
+
 Json Encode(const Route& route) {
   Json json;
+  json["host"] = route.host;
   json["path_prefix"] = route.path_prefix;
   json["service"] = route.service.value();
+  json["split"] = EncodeList(route.split);
   json["open"] = route.open;
-  json["idempotent"] = route.idempotent;
+  json["idempotent"] = route.repeats == RepeatRule::kAlways;
+  json["never_repeat"] = route.repeats == RepeatRule::kNever;
   json["timeout_ms"] = route.timeout.count();
+  json["target_latency_ms"] = route.target_latency.count();
+  json["max_attempts"] = route.max_attempts;
+  json["priority"] = route.priority;
   return json;
 }
 
@@ -63,7 +81,10 @@
   json["id"] = account.id.value();
   json["rate_per_s"] = account.rate_per_s;
   json["burst"] = account.burst;
+  json["limited"] = account.limited;
   json["weight"] = account.weight;
+  if (account.priority)
+    json["priority"] = *account.priority;
   return json;
 }
 
@@ -82,6 +103,15 @@
   return json;
 }
 
+Json Encode(const CallerLimits& limits) {
+  Json json;
+  json["header_bytes"] = limits.header_bytes;
+  json["body_bytes"] = limits.body_bytes;
+  json["header_time_ms"] = limits.header_time.count();
+  json["idle_time_ms"] = limits.idle_time.count();
+  return json;
+}
+
 template <typename Entry>
 Json EncodeList(const std::vector<Entry>& entries) {
   Json list = Json::array();
@@ -97,6 +127,8 @@
   json["version"] = document.version;
   json["admission_wait_ms"] = document.admission_wait.count();
   json["address_keep_ms"] = document.address_keep.count();
+  json["caller_limits"] = Encode(document.limits);
+  json["limit_policy"] = Name(document.limit_policy);
   json["data_centres"] = EncodeList(document.data_centres);
   json["services"] = EncodeList(document.services);
   json["routes"] = EncodeList(document.routes);
--- a/src/version/version.cc
+++ b/src/version/version.cc
@@ -8,12 +8,13 @@
 
 void IndexRoutes(Version& version) {
   for (const Route& route : version.document.routes)
-    version.routes_by_length.push_back(&route);
-  std::stable_sort(version.routes_by_length.begin(),
-                   version.routes_by_length.end(),
-                   [](const Route* a, const Route* b) {
-                     return a->path_prefix.size() > b->path_prefix.size();
-                   });
+    version.routes_by_host[route.host].push_back(&route);
+  for (auto& [host, routes] : version.routes_by_host) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->path_prefix.size() > b->path_prefix.size();
+                     });
+  }
 }
 
 void IndexDataCentres(Version& version) {
@@ -37,6 +38,33 @@
   return next == '/' || next == '?';
 }
 
+const Route* FindAmong(const Version& version,
+                       const std::string& host,
+                       std::string_view path) {
+  const auto routes = version.routes_by_host.find(host);
+  if (routes == version.routes_by_host.end())
+    return nullptr;
+  for (const Route* route : routes->second) {
+    if (HasPrefix(path, route->path_prefix))
+      return route;
+  }
+  return nullptr;
+}
+
+/** The name in a Host field: in lower case, without the port. */
+std::string HostName(std::string_view host) {
+  const size_t colon = host.rfind(':');
+  if (colon != std::string_view::npos &&
+      host.find_first_not_of("0123456789", colon + 1) == std::string_view::npos)
+    host = host.substr(0, colon);
+  std::string name(host);
+  for (char& letter : name) {
+    if (letter >= 'A' && letter <= 'Z')
+      letter = static_cast<char>(letter - 'A' + 'a');
+  }
+  return name;
+}
+
 }  // namespace
 
 VersionPtr MakeVersion(Document document,
@@ -57,12 +85,12 @@
   return version;
 }
 
-const Route* FindRoute(const Version& version, std::string_view path) {
-  for (const Route* route : version.routes_by_length) {
-    if (HasPrefix(path, route->path_prefix))
-      return route;
-  }
-  return nullptr;
+const Route* FindRoute(const Version& version,
+                       std::string_view host,
+                       std::string_view path) {
+  const std::string name = HostName(host);
+  const Route* route = FindAmong(version, name, path);
+  return route || name.empty() ? route : FindAmong(version, "", path);
 }
 
 }  // namespace mangodoor
--- a/src/version/version.h
+++ b/src/version/version.h
@@ -25,8 +25,8 @@
   std::unordered_map<ServiceId, const Service*> services_by_id;
   std::unordered_map<ClientAccountId, const ClientAccount*> accounts_by_id;
   std::unordered_map<DataCentreId, const DataCentre*> data_centres_by_id;
-  /** Longest prefix first. */
-  std::vector<const Route*> routes_by_length;
+  /** Routes of one host, longest prefix first; "" holds for all hosts. */
+  std::unordered_map<std::string, std::vector<const Route*>> routes_by_host;
   /** Entry addresses of all data centres in service, in sorted order. */
   std::vector<Endpoint> entry_addresses;
 };
@@ -37,10 +37,13 @@
 VersionPtr MakeVersion(Document document, std::string digest, std::string text);
 
 /**
- * The route with the longest prefix of `path`, or null. A prefix ends at a
- * segment: "/orders" matches "/orders" and "/orders/7", not "/ordersheet".
+ * The route with the longest prefix of `path`, or null. Routes of `host` go
+ * before those of all hosts. A prefix ends at a segment: "/orders" matches
+ * "/orders" and "/orders/7", not "/ordersheet".
  */
-const Route* FindRoute(const Version& version, std::string_view path);
+const Route* FindRoute(const Version& version,
+                       std::string_view host,
+                       std::string_view path);
 
 }  // namespace mangodoor
 
--- a/tests/connection/data_path_fixture.cc
+++ b/tests/connection/data_path_fixture.cc
@@ -69,7 +69,7 @@
                      MakeRoute("/keyed", route_timeout_),
                      MakeRoute("/idempotent", route_timeout_)};
   document.routes[1].open = false;
-  document.routes[2].idempotent = true;
+  document.routes[2].repeats = RepeatRule::kAlways;
   ClientAccount account;
   account.id = ClientAccountId("account");
   account.rate_per_s = kPlenty;
--- a/tests/operators/documentation_test.cc
+++ b/tests/operators/documentation_test.cc
@@ -122,6 +122,7 @@
   ExpectFields(parts.at("service"), json["services"][0], "service");
   ExpectFields(parts.at("server"), json["services"][0]["servers"][0], "server");
   ExpectFields(parts.at("route"), json["routes"][0], "route");
+  ExpectFields(parts.at("caller_limits"), json["caller_limits"], "limits");
   ExpectFields(parts.at("client_account"), json["client_accounts"][0],
                "client account");
   ExpectFields(parts.at("key"), json["keys"][0], "key");
@@ -169,6 +170,22 @@
   check("server", "connection_limit", kConnectionLimitRange,
         server.connection_limit);
   check("route", "timeout_ms", kTimeoutRangeMs, Route().timeout.count());
+  check("route", "target_latency_ms", kTargetLatencyRangeMs, 0);
+  check("route", "max_attempts", kMaxAttemptsRange, Route().max_attempts);
+  check("route", "priority", kPriorityRange, 0);
+  check("part", "weight", kPartWeightRange, 0);
+  check("service", "connection_limit", kConnectionLimitRange,
+        service.connection_limit);
+  check("service", "cold_time_ms", kColdTimeRangeMs, 0);
+  check("caller_limits", "header_bytes", kHeaderBytesRange,
+        static_cast<int64_t>(CallerLimits().header_bytes));
+  check("caller_limits", "body_bytes", kBodyBytesRange,
+        static_cast<int64_t>(CallerLimits().body_bytes));
+  check("caller_limits", "header_time_ms", kHeaderTimeRangeMs,
+        CallerLimits().header_time.count());
+  check("caller_limits", "idle_time_ms", kIdleTimeRangeMs,
+        CallerLimits().idle_time.count());
+  ExpectRange<double>(schema, "service", "cold_rate_per_s", kColdRateRange, 0);
   check("client_account", "burst", kBurstRange, 0);
   check("client_account", "weight", kWeightRange, ClientAccount().weight);
   ExpectRange<double>(schema, "service", "probe_budget_per_s",
--- a/tests/version/document_codec_test.cc
+++ b/tests/version/document_codec_test.cc
@@ -41,9 +41,28 @@
   service.cold_max = std::chrono::milliseconds(2000);
   service.probe_budget_per_s = 0.5;
   service.queue_limit = 9;
-  document.routes[0].idempotent = true;
+  document.routes[0].repeats = RepeatRule::kAlways;
   document.routes[0].open = true;
   document.routes[0].timeout = std::chrono::milliseconds(77);
+  document.routes[0].host = "shop.example";
+  document.routes[0].target_latency = std::chrono::milliseconds(33);
+  document.routes[0].max_attempts = 2;
+  document.routes[0].priority = 5;
+  Route split;
+  split.path_prefix = "/split/";
+  split.repeats = RepeatRule::kNever;
+  split.split = {{ServiceId("orders"), 9}, {ServiceId("orders"), 1}};
+  document.routes.push_back(split);
+  service.discovered = true;
+  service.health_path = "/well";
+  service.connection_limit = 99;
+  service.cold_time = std::chrono::milliseconds(3000);
+  service.cold_rate_per_s = 12.5;
+  document.client_accounts[0].limited = false;
+  document.client_accounts[0].priority = 4;
+  document.limits = {2048, 4096, std::chrono::milliseconds(3000),
+                     std::chrono::milliseconds(15000)};
+  document.limit_policy = LimitPolicy::kSharedUsage;
   document.client_accounts[0].weight = 3;
   document.data_centres[1].in_service = false;
   document.data_centres[1].region = "texas";
@@ -52,6 +71,11 @@
   EXPECT_EQ(EncodeDocument(decoded), text);
   EXPECT_EQ(decoded.services[0].servers[1].mode, ServerMode::kDraining);
   EXPECT_EQ(decoded.services[0].queue_limit, 9);
+  EXPECT_EQ(decoded.routes[1].repeats, RepeatRule::kNever);
+  EXPECT_EQ(decoded.routes[1].split[0].weight, 9);
+  EXPECT_EQ(decoded.client_accounts[0].priority, 4);
+  EXPECT_EQ(decoded.limits.header_bytes, 2048U);
+  EXPECT_EQ(decoded.limit_policy, LimitPolicy::kSharedUsage);
   EXPECT_EQ(decoded.planned_changes[0].at, document.planned_changes[0].at);
 }
 
@@ -145,6 +169,29 @@
         FaultCase{"/routes/1",
                   "{\"path_prefix\": \"/orders\", \"service\": \"orders\"}",
                   "/routes/1/path_prefix: \"/orders\"; allowed: a value not"},
+        FaultCase{"/routes/0/host", "\"a b\"", "/routes/0/host: \"a b\""},
+        FaultCase{"/routes/0/split",
+                  "[{\"service\": \"orders\", \"weight\": 1}]",
+                  "/routes/0/service: \"orders\"; allowed: nothing"},
+        FaultCase{"/routes/1",
+                  "{\"path_prefix\": \"/p/\", \"split\": "
+                  "[{\"service\": \"orders\", \"weight\": 0}]}",
+                  "/routes/1/split: no weight above 0"},
+        FaultCase{"/routes/1",
+                  "{\"path_prefix\": \"/p/\", \"split\": "
+                  "[{\"service\": \"x\", \"weight\": 1}]}",
+                  "/routes/1/split/0/service: \"x\""},
+        FaultCase{"/routes/1",
+                  "{\"path_prefix\": \"/p/\", \"service\": \"orders\", "
+                  "\"idempotent\": true, \"never_repeat\": true}",
+                  "/routes/1/never_repeat: true"},
+        FaultCase{"/routes/0/max_attempts", "0", "/max_attempts: 0;"},
+        FaultCase{"/client_accounts/0/priority", "1001", "/priority: 1001;"},
+        FaultCase{"/caller_limits/header_bytes", "3",
+                  "/caller_limits/header_bytes: 3;"},
+        FaultCase{"/limit_policy", "\"none\"", "/limit_policy: \"none\""},
+        FaultCase{"/services/0/health_path", "\"well\"",
+                  "/services/0/health_path: \"well\""},
         FaultCase{"/client_accounts/0/rate_per_s", "0", "/rate_per_s: 0;"},
         FaultCase{"/client_accounts/0/rate_per_s", "-1", "/rate_per_s: -1;"},
         FaultCase{"/client_accounts/0/rate_per_s", "1e300", "/rate_per_s: 1e"},
--- a/tests/version/sample_document.h
+++ b/tests/version/sample_document.h
@@ -36,6 +36,7 @@
   route.service = ServiceId("orders");
   document.routes = {route};
   document.client_accounts = {{ClientAccountId("shop"), 100, 50, 1}};
+  document.client_accounts[0].priority = 2;
   document.keys = {{digest, ClientAccountId("shop")}};
   document.planned_changes = {
       {WallTime(hours(500000)), ChangeKind::kDataCentreOut, "west"},
--- a/tests/version/version_test.cc
+++ b/tests/version/version_test.cc
@@ -20,16 +20,28 @@
 TEST(VersionTest, LongestPrefixWins) {
   const VersionPtr version = MakeVersion(
       DocumentWithRoutes({"/", "/orders", "/orders/urgent"}), "", "");
-  EXPECT_EQ(FindRoute(*version, "/orders/urgent/7")->path_prefix,
+  EXPECT_EQ(FindRoute(*version, "", "/orders/urgent/7")->path_prefix,
             "/orders/urgent");
-  EXPECT_EQ(FindRoute(*version, "/orders?x=1")->path_prefix, "/orders");
+  EXPECT_EQ(FindRoute(*version, "", "/orders?x=1")->path_prefix, "/orders");
 }
 
 // Guards against a route that takes over paths that merely begin alike.
 TEST(VersionTest, PrefixEndsAtSegment) {
   const VersionPtr version =
       MakeVersion(DocumentWithRoutes({"/orders"}), "", "");
-  EXPECT_EQ(FindRoute(*version, "/ordersheet"), nullptr);
+  EXPECT_EQ(FindRoute(*version, "", "/ordersheet"), nullptr);
+}
+
+// Guards against a route of one host that serves another, and against a port
+// or capitals in the Host field that hide a route.
+TEST(VersionTest, RoutesOfTheHostGoFirst) {
+  Document document = DocumentWithRoutes({"/", "/a/"});
+  document.routes[0].host = "one.example";
+  const VersionPtr version = MakeVersion(document, "", "");
+  EXPECT_EQ(FindRoute(*version, "ONE.example:8080", "/a/1")->host,
+            "one.example");
+  EXPECT_EQ(FindRoute(*version, "two.example", "/a/1")->path_prefix, "/a/");
+  EXPECT_EQ(FindRoute(*version, "two.example", "/b/1"), nullptr);
 }
 
 }  // namespace
