--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	@tools/lint.sh $(BUILD)
 
 format:
-	@find src tests -name '*.h' -o -name '*.cc' | xargs clang-format -i
+	@find src tests platform -name '*.h' -o -name '*.cc' | xargs clang-format -i
 
 test: build lint
 	@tools/run_tests.sh $(BUILD)
--- a/src/connection/io/caller_session.cc
+++ b/src/connection/io/caller_session.cc
@@ -143,7 +143,8 @@
   void Refuse(ErrorKind kind, YieldContext yield) {
     ++context_.tables.counters.requests;
     ++context_.tables.counters.errors[static_cast<size_t>(kind)];
-    stream_->Write(ErrorResponse({kind, AnswerFor(kind).outcome}, true, false),
+    stream_->Write(ErrorResponse({kind, AnswerFor(kind).outcome, std::nullopt},
+                                 true, false, context_.names),
                    context_.limits.body_progress, yield);
   }
 
--- a/src/connection/io/session_context.h
+++ b/src/connection/io/session_context.h
@@ -2,6 +2,8 @@
 #define CONNECTION_IO_SESSION_CONTEXT_H_
 
 #include "connection/time_limits.h"
+#include "process/random_value.h"
+#include "request/call_names.h"
 
 namespace mangodoor {
 
@@ -19,6 +21,9 @@
   BackendPool& pool;
   AttemptTable& attempts;
   TimeLimits limits{};
+  const CallNames& names = OwnCallNames();
+  /** Uniform over all 64-bit values; may be called on any thread. */
+  uint64_t (*random)() = RandomValue;
 };
 
 }  // namespace mangodoor
--- /dev/null
+++ b/src/process/accounts/usage_book.h
@@ -0,0 +1,111 @@
+#ifndef PROCESS_ACCOUNTS_USAGE_BOOK_H_
+#define PROCESS_ACCOUNTS_USAGE_BOOK_H_
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "process/clock.h"
+#include "process/peers/peer_message.h"
+#include "version/version.h"
+
+namespace mangodoor {
+
+/**
+ * What may be admitted beyond rate and burst: in any window, `overage` times
+ * the allowed requests plus `slack`, over the whole fleet.
+ */
+struct UsageTolerance {
+  Duration window = std::chrono::seconds(5);
+  double overage = 0;
+  double slack = 0;
+};
+
+/** A demand that another instance stated. */
+struct ReportedDemand {
+  double per_s = 0;
+  TimePoint at{};
+};
+
+/** One client account at this instance. */
+struct UsageState {
+  double rate_per_s = 0;
+  double burst = 0;
+  double tokens = 0;
+  TimePoint refilled_at{};
+  /** Requests that came here, averaged over the last seconds. */
+  double demand_per_s = 0;
+  TimePoint demand_at{};
+  /** What this instance last stated of its demand, and the time before. */
+  double stated_per_s = 0;
+  double stated_before_per_s = 0;
+  /** Demands at the other instances of this data centre. */
+  std::map<InstanceId, ReportedDemand> near;
+  /** Demands in the other data centres. */
+  std::map<DataCentreId, ReportedDemand> far;
+  /** Demand over the fleet, as the lead of this data centre stated it. */
+  ReportedDemand fleet;
+  uint64_t admitted = 0;
+  uint64_t refused = 0;
+};
+
+/** How many instances a statement of demands covers. */
+struct Coverage {
+  int instances = 0;
+  TimePoint at{};
+};
+
+/**
+ * Until an instance has seen how many others there are, it takes no more than
+ * one of this many would.
+ */
+constexpr int kAssumedInstances = 16;
+
+/** The client accounts whose rates the fleet shares by reports of demand. */
+struct UsageBook {
+  UsageTolerance tolerance;
+  std::unordered_map<ClientAccountId, UsageState> accounts;
+  /** The most instances seen at once lately; bounds a share without news. */
+  int instances = kAssumedInstances;
+  std::optional<TimePoint> instances_at;
+  std::map<InstanceId, TimePoint> near_heard;
+  std::map<DataCentreId, Coverage> far_heard;
+  /** What the latest statement on the whole fleet covered. */
+  Coverage fleet;
+};
+
+/** Adopts the rates and bursts of a version; clamps at once. */
+void AdoptAccounts(UsageBook& book, const Version& version, TimePoint now);
+
+/** Notes how many instances are known to run. */
+void NoteInstances(UsageBook& book, int count, TimePoint now);
+
+/** Whether a request may run, and if not, when the next one may. */
+struct UsageDecision {
+  bool admitted = true;
+  Duration retry_after{};
+};
+
+/** Decides on one request of the account. */
+UsageDecision AdmitUsage(UsageBook& book,
+                         const ClientAccountId& account,
+                         TimePoint now);
+
+/** Takes over what a beat says of demands. */
+void HearUsage(UsageBook& book,
+               const InstanceId& from,
+               const DataCentreId& data_centre,
+               bool own_data_centre,
+               const MemberBeat& beat,
+               TimePoint now);
+
+/** Fills in what this instance states of demands, for the beat's scope. */
+void StateUsage(UsageBook& book, MemberBeat& beat, TimePoint now);
+
+/** Part of the rate that falls to this instance, from 0 to 1. */
+double OwnShare(const UsageBook& book, const UsageState& state, TimePoint now);
+
+}  // namespace mangodoor
+
+#endif  // PROCESS_ACCOUNTS_USAGE_BOOK_H_
--- /dev/null
+++ b/src/process/fleet/address_plan.cc
@@ -0,0 +1,90 @@
+#include "process/fleet/address_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <string>
+
+#include "process/membership/rendezvous.h"
+
+namespace mangodoor {
+namespace {
+
+// Few instances share the servers of a data centre, so that each knows best
+// what the servers are doing; two, so that one may fail.
+constexpr size_t kAddressesPerCaller = 2;
+
+/** Weighted rendezvous: the highest value wins, in proportion to weights. */
+double WeightedScore(std::string_view key,
+                     std::string_view candidate,
+                     double weight) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  const double uniform =
+      (static_cast<double>(RendezvousScore(key, candidate)) + 0.5) / kRange;
+  return -weight / std::log(uniform);
+}
+
+bool TakesCallers(const Member& member) {
+  return member.state == MemberState::kServing;
+}
+
+/** Weight of each data centre that has an instance to send callers to. */
+std::map<DataCentreId, double> Weights(const AddressInputs& inputs) {
+  std::map<DataCentreId, double> weights;
+  double sum = 0;
+  for (const Member& member : inputs.live) {
+    if (!TakesCallers(member))
+      continue;
+    const auto found = inputs.capacity.find(member.data_centre);
+    const double weight = found == inputs.capacity.end() ? 0 : found->second;
+    if (weights.emplace(member.data_centre, weight).second)
+      sum += weight;
+  }
+  if (sum > 0)
+    return weights;
+  // No server anywhere: the caller is not sent far for a refusal.
+  for (auto& [data_centre, weight] : weights)
+    weight = data_centre == inputs.own_data_centre ? 1 : 0;
+  return weights;
+}
+
+std::optional<DataCentreId> PickDataCentre(const AddressInputs& inputs) {
+  const std::string key =
+      std::string(inputs.caller) + "|" + std::string(inputs.subject);
+  std::optional<DataCentreId> best;
+  double best_score = 0;
+  for (const auto& [data_centre, weight] : Weights(inputs)) {
+    const double score = WeightedScore(key, data_centre.value(), weight);
+    if (!best || score > best_score) {
+      best = data_centre;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+std::vector<Endpoint> PlanAddresses(const AddressInputs& inputs) {
+  const std::optional<DataCentreId> data_centre = PickDataCentre(inputs);
+  std::vector<std::pair<double, Endpoint>> scored;
+  for (const Member& member : inputs.live) {
+    if (data_centre && TakesCallers(member) &&
+        member.data_centre == *data_centre) {
+      scored.emplace_back(
+          WeightedScore(inputs.subject, member.id.value(), member.weight),
+          member.caller_endpoint);
+    }
+  }
+  std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second < b.second;
+  });
+  std::vector<Endpoint> addresses;
+  for (const auto& [score, endpoint] : scored) {
+    if (addresses.size() < kAddressesPerCaller)
+      addresses.push_back(endpoint);
+  }
+  return addresses;
+}
+
+}  // namespace mangodoor
--- /dev/null
+++ b/src/process/fleet/fleet_table.cc
@@ -0,0 +1,111 @@
+#include "process/fleet/fleet_table.h"
+
+#include <utility>
+
+#include "process/fleet/link_plan.h"
+
+namespace mangodoor {
+namespace {
+
+// Gone instances are remembered longer than a lagging peer may name them.
+constexpr Duration kRememberGone = std::chrono::seconds(120);
+
+// Two ticks further apart than this mean that the process did not run.
+constexpr Duration kPauseGap = std::chrono::milliseconds(800);
+
+// The functions below are called with the table locked.
+
+void SendNews(FleetTable& table, FleetActions& actions) {
+  for (auto& [peer, link] : table.links) {
+    if (link.sent_change >= table.book.last_change)
+      continue;
+    MemberNews news{ChangesSince(table.book, link.sent_change)};
+    link.sent_change = table.book.last_change;
+    if (!news.members.empty())
+      actions.messages.push_back({peer, std::move(news)});
+  }
+}
+
+void FindDueBeats(FleetTable& table, TimePoint now, FleetActions& actions) {
+  for (auto& [peer, link] : table.links) {
+    const Duration spacing =
+        IsInOwnDataCentre(table.book, peer) ? kNearBeat : kFarBeat;
+    if (link.beat_at && now - *link.beat_at < spacing)
+      continue;
+    link.beat_at = now;
+    actions.beats.push_back(peer);
+  }
+}
+
+}  // namespace
+
+FleetActions TickFleet(FleetTable& table, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  if (!table.last_tick || now - *table.last_tick > kPauseGap)
+    table.book.watching_since = now;
+  table.last_tick = now;
+  FleetActions actions;
+  actions.gone = DeclareGone(table.book, {}, now);
+  ForgetGone(table.book, kRememberGone, now);
+  SendNews(table, actions);
+  FindDueBeats(table, now, actions);
+  actions.links = PlanLinks(table.book, table.seeds, now);
+  return actions;
+}
+
+void OpenLink(FleetTable& table, const InstanceId& peer, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  table.links[peer] = FleetLink();
+  Hear(table.book, peer, now);
+}
+
+void CloseLink(FleetTable& table, const InstanceId& peer) {
+  OrderedLock lock(table.mutex);
+  table.links.erase(peer);
+}
+
+void HearFrom(FleetTable& table, const InstanceId& from, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  Hear(table.book, from, now);
+}
+
+std::vector<Member> HandleMemberNews(FleetTable& table,
+                                     const InstanceId& from,
+                                     const MemberNews& news,
+                                     TimePoint now) {
+  OrderedLock lock(table.mutex);
+  std::vector<Member> changed;
+  for (const Member& member : news.members) {
+    if (Learn(table.book, member, now) && member.id != table.book.self.id)
+      changed.push_back(member);
+  }
+  Hear(table.book, from, now);
+  return changed;
+}
+
+void BeginLeaving(FleetTable& table, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  Leave(table.book, now);
+}
+
+FleetView ViewFleet(const FleetTable& table) {
+  OrderedLock lock(table.mutex);
+  FleetView view;
+  view.self = table.book.self;
+  for (const Member* member : LiveMembers(table.book))
+    view.live.push_back(*member);
+  const auto ranked = RankedMembers(table.book, table.book.self.data_centre);
+  for (size_t i = 0; i < ranked.size(); ++i) {
+    if (ranked[i]->id == table.book.self.id)
+      view.rank = i;
+    else if (table.links.count(ranked[i]->id) > 0)
+      view.neighbours[ranked[i]->id] = i;
+  }
+  for (const auto& [peer, link] : table.links) {
+    if (view.neighbours.count(peer) == 0)
+      view.far.push_back(peer);
+  }
+  return view;
+}
+
+}  // namespace mangodoor
--- /dev/null
+++ b/src/process/fleet/fleet_table.h
@@ -0,0 +1,82 @@
+#ifndef PROCESS_FLEET_FLEET_TABLE_H_
+#define PROCESS_FLEET_FLEET_TABLE_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "process/fleet/member_book.h"
+#include "process/membership/membership.h"
+#include "process/ordered_mutex.h"
+#include "process/peers/peer_message.h"
+
+namespace mangodoor {
+
+/** What a link to another instance has carried. */
+struct FleetLink {
+  /** The peer has been sent every change up to this number. */
+  uint64_t sent_change = 0;
+  std::optional<TimePoint> beat_at;
+};
+
+/** The fleet as this instance sees it, behind a lock. */
+struct FleetTable {
+  mutable OrderedMutex mutex{LockRank::kFleet};
+  MemberBook book;
+  std::vector<Endpoint> seeds;
+  /** Links that are open. */
+  std::map<InstanceId, FleetLink> links;
+  std::optional<TimePoint> last_tick;
+};
+
+/** Spacing of the beats within a data centre, and between two. */
+constexpr Duration kNearBeat = std::chrono::milliseconds(400);
+constexpr Duration kFarBeat = std::chrono::milliseconds(1000);
+
+/** How often TickFleet is to be called. */
+constexpr Duration kFleetTick = std::chrono::milliseconds(100);
+
+/** What is to be done after a call, once no lock is held. */
+struct FleetActions {
+  std::vector<OutgoingMessage> messages;
+  /** Links whose beat is due; the caller fills in what the beat says. */
+  std::vector<InstanceId> beats;
+  /** Links to keep from now on. */
+  std::vector<Instance> links;
+  /** Instances found silent. */
+  std::vector<InstanceId> gone;
+};
+
+FleetActions TickFleet(FleetTable& table, TimePoint now);
+
+void OpenLink(FleetTable& table, const InstanceId& peer, TimePoint now);
+void CloseLink(FleetTable& table, const InstanceId& peer);
+
+/** Notes a message of any kind that came over a link. */
+void HearFrom(FleetTable& table, const InstanceId& from, TimePoint now);
+
+/** Returns the instances whose state changed. */
+std::vector<Member> HandleMemberNews(FleetTable& table,
+                                     const InstanceId& from,
+                                     const MemberNews& news,
+                                     TimePoint now);
+
+void BeginLeaving(FleetTable& table, TimePoint now);
+
+/** A view of the fleet for one decision. */
+struct FleetView {
+  Member self;
+  /** This instance and all others that are not gone. */
+  std::vector<Member> live;
+  /** Linked instances of the own data centre, with their ranks. */
+  std::map<InstanceId, size_t> neighbours;
+  /** Linked instances of other data centres. */
+  std::vector<InstanceId> far;
+  size_t rank = 0;
+};
+
+FleetView ViewFleet(const FleetTable& table);
+
+}  // namespace mangodoor
+
+#endif  // PROCESS_FLEET_FLEET_TABLE_H_
--- /dev/null
+++ b/src/process/fleet/member.h
@@ -0,0 +1,41 @@
+#ifndef PROCESS_FLEET_MEMBER_H_
+#define PROCESS_FLEET_MEMBER_H_
+
+#include <cstdint>
+#include <string>
+
+#include "version/endpoint.h"
+#include "version/ids.h"
+
+namespace mangodoor {
+
+enum class MemberState { kServing, kLeaving, kGone };
+
+/** An instance of the fleet, as it states itself or as others found it. */
+struct Member {
+  InstanceId id;
+  DataCentreId data_centre;
+  Endpoint caller_endpoint;
+  Endpoint peer_endpoint;
+  /** What it can bear, relative to the others. */
+  int weight = 1;
+  /** Higher in each later process of the same id; it alone raises it. */
+  uint64_t incarnation = 0;
+  MemberState state = MemberState::kServing;
+};
+
+/**
+ * The id of an instance that is found by its peer endpoint. Seeds are known
+ * by endpoint only, so the endpoint has to tell the id.
+ */
+InstanceId IdOfEndpoint(const Endpoint& peer_endpoint);
+
+/**
+ * True if `news` replaces `known`: a later incarnation, or in the same one a
+ * state further towards the end.
+ */
+bool Supersedes(const Member& news, const Member& known);
+
+}  // namespace mangodoor
+
+#endif  // PROCESS_FLEET_MEMBER_H_
--- /dev/null
+++ b/src/process/fleet/member_book.h
@@ -0,0 +1,92 @@
+#ifndef PROCESS_FLEET_MEMBER_BOOK_H_
+#define PROCESS_FLEET_MEMBER_BOOK_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "process/clock.h"
+#include "process/fleet/member.h"
+
+namespace mangodoor {
+
+/** What this instance knows of one other. */
+struct MemberEntry {
+  Member member;
+  /** Number of the change that brought this state. */
+  uint64_t change = 0;
+  TimePoint changed_at{};
+  /** The last message that came from it directly. */
+  std::optional<TimePoint> heard_at;
+};
+
+/**
+ * Everything that this instance knows of the fleet. Changes are numbered, so
+ * that each link can be sent what it has not seen yet.
+ */
+struct MemberBook {
+  Member self;
+  std::map<InstanceId, MemberEntry> members;
+  uint64_t last_change = 0;
+  uint64_t own_change = 0;
+  /** Silence counts from here on; moved after a pause of this process. */
+  TimePoint watching_since{};
+};
+
+/** How long until an instance counts as gone. */
+struct SilenceLimits {
+  /** Without a message from an instance that is linked or should be. */
+  Duration instance = std::chrono::milliseconds(1500);
+  /** Without a message from any instance of another data centre. */
+  Duration data_centre = std::chrono::milliseconds(2500);
+};
+
+/** Instances that keep the links of a data centre, in order. */
+constexpr size_t kHubsPerDataCentre = 3;
+
+/** Starts the book with this instance alone. */
+MemberBook StartBook(Member self);
+
+/**
+ * Takes over news. News that this instance is gone, while it runs, makes it
+ * raise its incarnation. Returns true if anything changed.
+ */
+bool Learn(MemberBook& book, const Member& news, TimePoint now);
+
+/** Notes a message that came from an instance directly. */
+void Hear(MemberBook& book, const InstanceId& from, TimePoint now);
+
+/** Begins this instance's planned stop. */
+void Leave(MemberBook& book, TimePoint now);
+
+/** Everything that changed after change number `after`. */
+std::vector<Member> ChangesSince(const MemberBook& book, uint64_t after);
+
+/** All instances that are not gone, this one included, by id. */
+std::vector<const Member*> LiveMembers(const MemberBook& book);
+
+/** Those of one data centre, the hubs first. */
+std::vector<const Member*> RankedMembers(const MemberBook& book,
+                                         const DataCentreId& data_centre);
+
+/** This instance's place among those of its data centre; 0 is the lead. */
+size_t OwnRank(const MemberBook& book);
+
+/** All data centres of which any instance is known, in order. */
+std::vector<DataCentreId> KnownDataCentres(const MemberBook& book);
+
+/**
+ * Declares instances gone that this one is to watch and has not heard: a hub
+ * watches its data centre, others watch the hubs, and the lead watches the
+ * other data centres as a whole. Returns those declared gone.
+ */
+std::vector<InstanceId> DeclareGone(MemberBook& book,
+                                    const SilenceLimits& limits,
+                                    TimePoint now);
+
+/** Drops instances that have been gone for long. */
+void ForgetGone(MemberBook& book, Duration after, TimePoint now);
+
+}  // namespace mangodoor
+
+#endif  // PROCESS_FLEET_MEMBER_BOOK_H_
--- /dev/null
+++ b/src/process/io/fleet_process.cc
@@ -0,0 +1,419 @@
+#include "process/io/fleet_process.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <csignal>
+#include <map>
+#include <utility>
+
+#include "connection/io/backend_pool.h"
+#include "connection/io/caller_listener.h"
+#include "process/fleet/address_plan.h"
+#include "process/fleet/fleet_table.h"
+#include "process/io/action_runner.h"
+#include "process/io/log.h"
+#include "process/io/registry_applier.h"
+#include "process/io/settings.h"
+#include "process/io/ticker.h"
+#include "process/peers/io/peer_hub.h"
+#include "process/registry/feed.h"
+#include "process/servers/attempt_table.h"
+#include "process/status/io/admin_server.h"
+#include "process/system_clock.h"
+#include "process/tables.h"
+#include "process/worker_pool.h"
+
+namespace mangodoor {
+namespace {
+
+constexpr Duration kServerTick = std::chrono::milliseconds(10);
+constexpr Duration kIdleTick = std::chrono::seconds(1);
+
+// Parts of the grace of a planned stop: new callers are taken for the first,
+// running requests may finish until the second.
+constexpr double kListenPart = 0.6;
+constexpr double kFinishPart = 0.93;
+
+constexpr size_t kMaxDirectoryConnections = 1024;
+
+Member OwnMember(const Settings& settings, const Clock& clock) {
+  Member self;
+  self.id = IdOfEndpoint(settings.self.peer_endpoint);
+  self.data_centre = settings.self.data_centre;
+  self.caller_endpoint = settings.self.caller_endpoint;
+  self.peer_endpoint = settings.self.peer_endpoint;
+  self.weight = settings.fleet->weight;
+  // A later process has a later start; peers that remember more correct it.
+  self.incarnation = static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          clock.WallNow().time_since_epoch())
+          .count());
+  return self;
+}
+
+Instance HubIdentity(const Settings& settings) {
+  Instance self = settings.self;
+  self.id = IdOfEndpoint(settings.self.peer_endpoint);
+  return self;
+}
+
+std::chrono::milliseconds Part(std::chrono::milliseconds whole, double part) {
+  return std::chrono::milliseconds(
+      static_cast<int64_t>(static_cast<double>(whole.count()) * part));
+}
+
+/** Everything that lives as long as the process, in the order of its use. */
+class FleetProcess {
+ public:
+  FleetProcess(const Settings& settings, const PlatformInterface& platform);
+
+  int Run();
+
+ private:
+  PeerHubCallbacks HubCallbacks();
+  void HandlePeerMessage(const InstanceId& from, const PeerMessage& message);
+  void HandleBeat(const InstanceId& from, const MemberBeat& beat);
+  void HandleNews(const InstanceId& from, const MemberNews& news);
+  void HandlePeerConnected(const InstanceId& peer);
+  void HandlePeerLost(const InstanceId& peer);
+  void TickMembers();
+  void TickServerTable();
+  void SendBeats(const std::vector<InstanceId>& due, const FleetView& view);
+  void KeepLinks(std::vector<Instance> links);
+  void Run(FeedActions actions);
+  void StartRead(const ReadStart& read);
+  FeedPlace Place() const;
+  AddressAnswer Addresses(const AddressQuery& query) const;
+  bool IsReady() const;
+  void WaitForSignal();
+  void BeginPlannedStop();
+  void FinishPlannedStop();
+  void End();
+
+  const Settings& settings_;
+  const PlatformInterface& platform_;
+  SystemClock clock_;
+  Tables tables_;
+  FleetTable fleet_;
+  Feed feed_;
+  AttemptTable attempts_;
+  WorkerPool pool_;
+  PeerHub hub_;
+  ActionRunner actions_;
+  std::unique_ptr<PublishedStore> store_;
+  RegistryApplier applier_;
+  TcpBackendTransport transport_;
+  BackendPool backends_;
+  CallerListener listener_;
+  AdminServer admin_;
+  PageServer directory_;
+  PageServer readiness_;
+  Ticker member_ticker_;
+  Ticker server_ticker_;
+  Ticker idle_ticker_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer stop_timer_;
+  /** Used by the ticks of the members only, one at a time. */
+  std::map<InstanceId, Endpoint> links_;
+  std::atomic<bool> stopping_{false};
+};
+
+FleetProcess::FleetProcess(const Settings& settings,
+                           const PlatformInterface& platform)
+    : settings_(settings),
+      platform_(platform),
+      pool_(settings.worker_threads),
+      hub_(pool_.context(),
+           {HubIdentity(settings), settings.fleet_secret, {}},
+           HubCallbacks(),
+           clock_,
+           tables_.counters),
+      actions_(hub_, [](const ChosenServer&) {}),
+      store_(platform.open_store(pool_.context(), settings.fleet->store)),
+      applier_(tables_, clock_, actions_, settings.self, platform.decode),
+      transport_(pool_.context()),
+      backends_(transport_, clock_, tables_.counters),
+      listener_(pool_.context(),
+                settings.self.caller_endpoint,
+                SessionContext{tables_, clock_, actions_, backends_, attempts_,
+                               TimeLimits{}, platform_.names}),
+      admin_(tables_, clock_, pool_.context(), settings.admin_endpoint),
+      directory_(
+          pool_.context(),
+          settings.fleet->directory,
+          [this](const PageRequest& request) {
+            return platform_.directory_page(
+                request,
+                [this](const AddressQuery& query) { return Addresses(query); });
+          },
+          PageLimits{kMaxDirectoryConnections, std::chrono::seconds(10),
+                     std::chrono::seconds(10)}),
+      readiness_(pool_.context(),
+                 settings.fleet->readiness,
+                 [this](const PageRequest& request) {
+                   return platform_.readiness_page(request, IsReady());
+                 }),
+      member_ticker_(pool_.context(), kFleetTick, [this] { TickMembers(); }),
+      server_ticker_(pool_.context(),
+                     kServerTick,
+                     [this] { TickServerTable(); }),
+      idle_ticker_(pool_.context(),
+                   kIdleTick,
+                   [this] { backends_.CloseIdle(clock_.Now()); }),
+      signals_(pool_.context(), SIGTERM, SIGINT),
+      stop_timer_(pool_.context()) {
+  tables_.membership.self = settings.self;
+  tables_.membership.own_state = InstanceState::kServing;
+  tables_.versions.options.fence_when_stale = settings.fleet->fenced_when_stale;
+  tables_.usage.book.tolerance = settings.fleet->tolerance;
+  attempts_.policy = settings.fleet->retries;
+  fleet_.book = StartBook(OwnMember(settings, clock_));
+  fleet_.seeds = settings.fleet->seeds;
+}
+
+int FleetProcess::Run() {
+  hub_.Start();
+  listener_.Start();
+  for (Ticker* ticker : {&member_ticker_, &server_ticker_, &idle_ticker_})
+    ticker->Start();
+  WaitForSignal();
+  boost::asio::post(pool_.context(), [this] { TickMembers(); });
+  Log(LogLevel::kInfo, "started",
+      {{"id", settings_.self.id.value()},
+       {"data_centre", settings_.self.data_centre.value()},
+       {"caller", ToString(settings_.self.caller_endpoint)},
+       {"peer", ToString(settings_.self.peer_endpoint)},
+       {"admin", ToString(settings_.admin_endpoint)},
+       {"store", ToString(settings_.fleet->store)}});
+  pool_.Start();
+  pool_.Join();
+  Log(LogLevel::kInfo, "stopped");
+  return 0;
+}
+
+PeerHubCallbacks FleetProcess::HubCallbacks() {
+  return {[this](const InstanceId& from, const PeerMessage& message) {
+            HandlePeerMessage(from, message);
+          },
+          [this](const InstanceId& peer) { HandlePeerConnected(peer); },
+          [this](const InstanceId& peer) { HandlePeerLost(peer); }};
+}
+
+void FleetProcess::HandlePeerMessage(const InstanceId& from,
+                                     const PeerMessage& message) {
+  const TimePoint now = clock_.Now();
+  HearFrom(fleet_, from, now);
+  if (const auto* news = std::get_if<MemberNews>(&message))
+    HandleNews(from, *news);
+  else if (const auto* beat = std::get_if<MemberBeat>(&message))
+    HandleBeat(from, *beat);
+  else if (const auto* request = std::get_if<FeedRequest>(&message))
+    Run(HandleFeedRequest(feed_, from, *request));
+  else if (const auto* update = std::get_if<FeedUpdate>(&message))
+    Run(HandleFeedUpdate(feed_, Place(), from, *update, now));
+}
+
+void FleetProcess::HandleNews(const InstanceId& from, const MemberNews& news) {
+  for (const Member& member :
+       HandleMemberNews(fleet_, from, news, clock_.Now())) {
+    Log(LogLevel::kInfo, "member_changed",
+        {{"member", member.id.value()},
+         {"data_centre", member.data_centre.value()},
+         {"state", static_cast<int>(member.state)},
+         {"incarnation", member.incarnation},
+         {"from", from.value()}});
+  }
+}
+
+void FleetProcess::HandleBeat(const InstanceId& from, const MemberBeat& beat) {
+  const TimePoint now = clock_.Now();
+  const FleetView view = ViewFleet(fleet_);
+  Run(HandleFeedBeat(feed_, Place(), from, beat, now));
+  for (const Member& member : view.live) {
+    if (member.id != from)
+      continue;
+    OrderedLock lock(tables_.usage.mutex);
+    HearUsage(tables_.usage.book, from, member.data_centre,
+              member.data_centre == view.self.data_centre, beat, now);
+  }
+}
+
+void FleetProcess::HandlePeerConnected(const InstanceId& peer) {
+  Log(LogLevel::kInfo, "peer_connected", {{"peer", peer.value()}});
+  OpenLink(fleet_, peer, clock_.Now());
+}
+
+void FleetProcess::HandlePeerLost(const InstanceId& peer) {
+  Log(LogLevel::kWarning, "peer_lost", {{"peer", peer.value()}});
+  CloseLink(fleet_, peer);
+  ForgetPeer(feed_, peer);
+}
+
+FeedPlace FleetProcess::Place() const {
+  FleetView view = ViewFleet(fleet_);
+  return {view.rank, std::move(view.neighbours)};
+}
+
+void FleetProcess::TickMembers() {
+  const TimePoint now = clock_.Now();
+  FleetActions fleet = TickFleet(fleet_, now);
+  for (const InstanceId& gone : fleet.gone)
+    Log(LogLevel::kWarning, "member_gone", {{"member", gone.value()}});
+  for (const OutgoingMessage& outgoing : fleet.messages)
+    hub_.Send(outgoing.to, outgoing.message);
+  const FleetView view = ViewFleet(fleet_);
+  int near = 0;
+  for (const Member& member : view.live)
+    near += member.data_centre == view.self.data_centre ? 1 : 0;
+  const int all = static_cast<int>(view.live.size());
+  {
+    OrderedLock lock(tables_.usage.mutex);
+    NoteInstances(tables_.usage.book, all, now);
+  }
+  NoteInstances(tables_.servers, near, all);
+  NoteInstances(attempts_, all);
+  SendBeats(fleet.beats, view);
+  KeepLinks(std::move(fleet.links));
+  Run(TickFeed(feed_, {view.rank, view.neighbours}, now));
+}
+
+void FleetProcess::SendBeats(const std::vector<InstanceId>& due,
+                             const FleetView& view) {
+  if (due.empty())
+    return;
+  const TimePoint now = clock_.Now();
+  MemberBeat beat;
+  DescribeFeed(feed_, now, beat);
+  const bool leads = view.rank == 0;
+  for (const InstanceId& peer : due) {
+    const bool near = view.neighbours.count(peer) > 0;
+    MemberBeat sent = beat;
+    if (near || leads) {
+      sent.scope = !near   ? UsageScope::kDataCentre
+                   : leads ? UsageScope::kFleet
+                           : UsageScope::kInstance;
+      OrderedLock lock(tables_.usage.mutex);
+      StateUsage(tables_.usage.book, sent, now);
+    }
+    hub_.Send(peer, sent);
+  }
+}
+
+void FleetProcess::KeepLinks(std::vector<Instance> links) {
+  std::map<InstanceId, Endpoint> wanted;
+  for (const Instance& link : links)
+    wanted[link.id] = link.peer_endpoint;
+  if (wanted == links_)
+    return;
+  links_ = std::move(wanted);
+  hub_.SetPeers(links);
+}
+
+void FleetProcess::Run(FeedActions actions) {
+  for (const OutgoingMessage& outgoing : actions.messages)
+    hub_.Send(outgoing.to, outgoing.message);
+  if (!actions.news.empty())
+    applier_.Apply(actions.news);
+  StartRead(actions.read);
+}
+
+void FleetProcess::StartRead(const ReadStart& read) {
+  if (read.kind == ReadStart::Kind::kNone)
+    return;
+  ++tables_.counters.configuration_reads;
+  const auto done = [this](StoreAnswer answer) {
+    if (answer.kind != StoreAnswer::Kind::kItems) {
+      Log(LogLevel::kWarning, "store_read_failed",
+          {{"reason", answer.reason}, {"revision", FeedRevision(feed_)}});
+    }
+    Run(FinishStoreRead(feed_, Place(), std::move(answer), clock_.Now()));
+  };
+  if (read.kind == ReadStart::Kind::kPage)
+    store_->ReadPage(read.after_key, read.freshness, done);
+  else
+    store_->Watch(read.after_revision, read.wait, done);
+}
+
+void FleetProcess::TickServerTable() {
+  actions_.Run(TickServers(tables_.servers, clock_.Now()));
+}
+
+AddressAnswer FleetProcess::Addresses(const AddressQuery& query) const {
+  const FleetView view = ViewFleet(fleet_);
+  AddressInputs inputs;
+  inputs.live = view.live;
+  inputs.own_data_centre = view.self.data_centre;
+  inputs.subject = query.host;
+  inputs.caller = query.caller;
+  if (const VersionPtr version = VersionInForce(tables_.versions)) {
+    inputs.capacity = CapacityOf(
+        tables_.servers, ServicesOf(*version, query.host), clock_.Now());
+  }
+  return {PlanAddresses(inputs), settings_.fleet->address_keep};
+}
+
+bool FleetProcess::IsReady() const {
+  return !stopping_ && VersionInForce(tables_.versions) != nullptr;
+}
+
+void FleetProcess::WaitForSignal() {
+  signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (error)
+      return;
+    if (stopping_) {
+      // A second signal means that the operator does not want to wait.
+      Log(LogLevel::kWarning, "stopped_without_waiting");
+      pool_.context().stop();
+      return;
+    }
+    stopping_ = true;
+    BeginPlannedStop();
+    WaitForSignal();
+  });
+}
+
+void FleetProcess::BeginPlannedStop() {
+  const auto listen = Part(settings_.fleet->stop_grace, kListenPart);
+  Log(LogLevel::kInfo, "leaving", {{"listen_ms", listen.count()}});
+  BeginLeaving(fleet_, clock_.Now());
+  BeginLeaving(tables_.membership);
+  stop_timer_.expires_after(listen);
+  stop_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error)
+      FinishPlannedStop();
+  });
+}
+
+void FleetProcess::FinishPlannedStop() {
+  listener_.Drain([this] { End(); });
+  const auto& grace = settings_.fleet->stop_grace;
+  stop_timer_.expires_after(Part(grace, kFinishPart) -
+                            Part(grace, kListenPart));
+  stop_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error)
+      return;
+    Log(LogLevel::kWarning, "requests_cut_at_stop",
+        {{"running", listener_.running_requests()}});
+    pool_.context().stop();
+  });
+}
+
+void FleetProcess::End() {
+  stop_timer_.cancel();
+  admin_.Stop();
+  directory_.Stop();
+  readiness_.Stop();
+  hub_.Stop();
+  pool_.context().stop();
+}
+
+}  // namespace
+
+int RunFleetInstance(const Settings& settings,
+                     const PlatformInterface& platform) {
+  return FleetProcess(settings, platform).Run();
+}
+
+}  // namespace mangodoor
--- a/src/process/io/instance_process.cc
+++ b/src/process/io/instance_process.cc
@@ -13,6 +13,7 @@
 #include "process/io/action_runner.h"
 #include "process/io/log.h"
 #include "process/io/settings.h"
+#include "process/io/ticker.h"
 #include "process/membership/io/instance_list_source.h"
 #include "process/peers/io/peer_hub.h"
 #include "process/servers/attempt_table.h"
@@ -37,30 +38,6 @@
 // this instance leaves, and need time to connect.
 constexpr std::chrono::milliseconds kLeaveMargin(1000);
 
-/** Calls a function again and again, as long as the io_context runs. */
-class Ticker {
- public:
-  Ticker(boost::asio::io_context& context,
-         Duration period,
-         std::function<void()> work)
-      : timer_(context), period_(period), work_(std::move(work)) {}
-
-  void Start() {
-    timer_.expires_after(period_);
-    timer_.async_wait([this](const boost::system::error_code& error) {
-      if (error)
-        return;
-      work_();
-      Start();
-    });
-  }
-
- private:
-  boost::asio::steady_timer timer_;
-  Duration period_;
-  std::function<void()> work_;
-};
-
 /** Everything that lives as long as the process, in the order of its use. */
 class InstanceProcess {
  public:
--- /dev/null
+++ b/src/process/io/registry_applier.cc
@@ -0,0 +1,95 @@
+#include "process/io/registry_applier.h"
+
+#include <utility>
+
+#include "process/io/log.h"
+#include "process/tables.h"
+
+namespace mangodoor {
+
+RegistryApplier::RegistryApplier(Tables& tables,
+                                 const Clock& clock,
+                                 ActionRunner& actions,
+                                 const Instance& self,
+                                 ItemDecoder decode)
+    : tables_(tables),
+      clock_(clock),
+      actions_(actions),
+      self_(self),
+      decode_(std::move(decode)) {}
+
+bool RegistryApplier::IsNews(const StoreItem& item) {
+  uint64_t& revision = revisions_[item.key];
+  if (item.revision < revision)
+    return false;
+  revision = item.revision;
+  return true;
+}
+
+void RegistryApplier::Apply(const std::vector<StoreItem>& items) {
+  // Held throughout, so that two batches come into force one after the other.
+  OrderedLock lock(mutex_);
+  std::vector<ServerRecord> records;
+  std::vector<BackendServerId> gone;
+  for (const StoreItem& item : items) {
+    if (!IsNews(item))
+      continue;
+    const RegistryFact fact = decode_(item, clock_.WallNow());
+    if (const auto* record = std::get_if<ServerRecord>(&fact)) {
+      records.push_back(*record);
+    } else if (const auto* lost = std::get_if<ServerGone>(&fact)) {
+      gone.push_back(lost->id);
+      LogFaults("server_record_unusable", item, lost->faults);
+    } else if (const auto* order = std::get_if<DataCentreOrder>(&fact)) {
+      ApplyOrder(*order, item);
+    } else if (const auto* version = std::get_if<VersionPtr>(&fact)) {
+      ApplyDocument(*version, item);
+    } else if (const auto* bad = std::get_if<BadDocument>(&fact)) {
+      LogFaults("document_rejected", item, bad->faults);
+    }
+  }
+  if (!records.empty() || !gone.empty())
+    actions_.Run(ApplyRecords(tables_.servers, records, gone, clock_.Now()));
+}
+
+void RegistryApplier::ApplyDocument(const VersionPtr& version,
+                                    const StoreItem& item) {
+  const ApplyOutcome outcome =
+      ConsiderVersion(tables_.versions, version, clock_.WallNow());
+  Log(LogLevel::kInfo, "document_considered",
+      {{"version", version->document.version},
+       {"revision", item.revision},
+       {"in_force", outcome == ApplyOutcome::kInForce}});
+  if (outcome != ApplyOutcome::kInForce)
+    return;
+  const VersionPtr in_force = VersionInForce(tables_.versions);
+  const TimePoint now = clock_.Now();
+  {
+    OrderedLock lock(tables_.usage.mutex);
+    AdoptAccounts(tables_.usage.book, *in_force, now);
+  }
+  actions_.Run(ApplyVersion(tables_.servers, *in_force, self_.caller_endpoint,
+                            self_.data_centre, now));
+}
+
+void RegistryApplier::ApplyOrder(const DataCentreOrder& order,
+                                 const StoreItem& item) {
+  Log(LogLevel::kInfo, order.out ? "data_centre_out" : "data_centre_in",
+      {{"data_centre", order.data_centre.value()},
+       {"revision", item.revision}});
+  actions_.Run(SetDataCentreOut(tables_.servers, order.data_centre, order.out,
+                                clock_.Now()));
+}
+
+void RegistryApplier::LogFaults(const char* event,
+                                const StoreItem& item,
+                                const std::vector<Fault>& faults) {
+  for (const Fault& fault : faults) {
+    Log(LogLevel::kWarning, event,
+        {{"key", item.key},
+         {"revision", item.revision},
+         {"fault", ToString(fault)}});
+  }
+}
+
+}  // namespace mangodoor
--- /dev/null
+++ b/src/process/io/registry_applier.h
@@ -0,0 +1,50 @@
+#ifndef PROCESS_IO_REGISTRY_APPLIER_H_
+#define PROCESS_IO_REGISTRY_APPLIER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "process/clock.h"
+#include "process/io/action_runner.h"
+#include "process/membership/membership.h"
+#include "process/ordered_mutex.h"
+#include "process/registry/registry_fact.h"
+
+namespace mangodoor {
+
+struct Tables;
+
+/** Puts changes of the platform's store into force in the tables. */
+class RegistryApplier {
+ public:
+  RegistryApplier(Tables& tables,
+                  const Clock& clock,
+                  ActionRunner& actions,
+                  const Instance& self,
+                  ItemDecoder decode);
+
+  /** Changes of one key may come in any order; an older one has no effect. */
+  void Apply(const std::vector<StoreItem>& items);
+
+ private:
+  bool IsNews(const StoreItem& item);
+  void ApplyDocument(const VersionPtr& version, const StoreItem& item);
+  void ApplyOrder(const DataCentreOrder& order, const StoreItem& item);
+  void LogFaults(const char* event,
+                 const StoreItem& item,
+                 const std::vector<Fault>& faults);
+
+  Tables& tables_;
+  const Clock& clock_;
+  ActionRunner& actions_;
+  const Instance& self_;
+  const ItemDecoder decode_;
+  OrderedMutex mutex_{LockRank::kFeedApply};
+  /** Revision of the latest change of each key. */
+  std::map<std::string, uint64_t> revisions_;
+};
+
+}  // namespace mangodoor
+
+#endif  // PROCESS_IO_REGISTRY_APPLIER_H_
--- a/src/process/io/settings.cc
+++ b/src/process/io/settings.cc
@@ -17,6 +17,10 @@
 
 constexpr Range<int64_t> kWorkerThreadsRange{1, 64};
 constexpr size_t kMaxSettingsBytes = 64 * 1024;
+constexpr Range<int64_t> kWindowRangeMs{1, 3600000};
+constexpr Range<int64_t> kInstanceWeightRange{1, 1000000};
+constexpr Range<double> kPartRange{0, 100};
+constexpr Range<double> kSlackRange{0, 1000000};
 
 template <typename Tag>
 void ReadName(ObjectReader& object, const char* field, Id<Tag>& id) {
@@ -70,6 +74,61 @@
   }
 }
 
+void ReadSeeds(ObjectReader& object, std::vector<Endpoint>& seeds) {
+  const nlohmann::json* list = ReadList(object, "seeds", Presence::kRequired);
+  if (!list)
+    return;
+  for (const nlohmann::json& seed : *list) {
+    seeds.push_back(ReadListedEndpoint(
+        seed, object.path + "/seeds/" + std::to_string(seeds.size()),
+        object.faults));
+  }
+}
+
+void ReadTolerance(ObjectReader& object, UsageTolerance& tolerance) {
+  std::chrono::milliseconds window(5000);
+  ReadMilliseconds(object, "limit_window_ms", kWindowRangeMs, window);
+  tolerance.window = window;
+  ReadNumber(object, "limit_overage", Presence::kOptional, kPartRange,
+             tolerance.overage);
+  ReadNumber(object, "limit_slack", Presence::kOptional, kSlackRange,
+             tolerance.slack);
+}
+
+void ReadRetries(ObjectReader& object, RetryPolicy& retries) {
+  std::chrono::milliseconds window(10000);
+  ReadNumber(object, "retry_ratio", Presence::kOptional, kPartRange,
+             retries.ratio);
+  ReadMilliseconds(object, "retry_window_ms", kWindowRangeMs, window);
+  retries.window = window;
+  ReadNumber(object, "retry_slack", Presence::kOptional, kSlackRange,
+             retries.fleet_slack);
+}
+
+void ReadFleet(ObjectReader& parent,
+               std::set<Endpoint>& used,
+               std::optional<FleetSettings>& fleet) {
+  parent.known.emplace_back("fleet");
+  if (!parent.json || !parent.json->contains("fleet"))
+    return;
+  fleet.emplace();
+  ObjectReader object = OpenObject(parent.json->at("fleet"),
+                                   parent.path + "/fleet", parent.faults);
+  ReadSeeds(object, fleet->seeds);
+  ReadAddress(object, "store", fleet->store, nullptr);
+  ReadAddress(object, "directory", fleet->directory, &used);
+  ReadAddress(object, "readiness", fleet->readiness, &used);
+  ReadInteger(object, "weight", Presence::kOptional, kInstanceWeightRange,
+              fleet->weight);
+  ReadTolerance(object, fleet->tolerance);
+  ReadRetries(object, fleet->retries);
+  ReadMilliseconds(object, "stop_grace_ms", kWindowRangeMs, fleet->stop_grace);
+  ReadMilliseconds(object, "address_keep_ms", kAddressKeepRangeMs,
+                   fleet->address_keep);
+  ReadFlag(object, "fenced_when_stale", fleet->fenced_when_stale);
+  RefuseUnknownFields(object);
+}
+
 Settings ReadFields(ObjectReader& object) {
   Settings settings;
   ReadName(object, "id", settings.self.id);
@@ -78,9 +137,12 @@
   ReadAddress(object, "caller", settings.self.caller_endpoint, &used);
   ReadAddress(object, "peer", settings.self.peer_endpoint, &used);
   ReadAddress(object, "admin", settings.admin_endpoint, &used);
-  ReadAddress(object, "configuration_service", settings.configuration_service,
-              nullptr);
-  ReadAddress(object, "instance_list", settings.instance_list, nullptr);
+  ReadFleet(object, used, settings.fleet);
+  if (!settings.fleet) {
+    ReadAddress(object, "configuration_service", settings.configuration_service,
+                nullptr);
+    ReadAddress(object, "instance_list", settings.instance_list, nullptr);
+  }
   ReadSecret(object, settings.fleet_secret);
   ReadInteger(object, "worker_threads", Presence::kOptional,
               kWorkerThreadsRange, settings.worker_threads);
--- a/src/process/io/settings.h
+++ b/src/process/io/settings.h
@@ -6,12 +6,38 @@
 #include <string>
 #include <vector>
 
+#include "process/accounts/usage_book.h"
 #include "process/io/log.h"
 #include "process/membership/membership.h"
+#include "process/servers/attempt_table.h"
 #include "version/fault.h"
 
 namespace mangodoor {
 
+/** How an instance finds the fleet and the platform without a list. */
+struct FleetSettings {
+  /** Peer endpoints of instances that may know the others. */
+  std::vector<Endpoint> seeds;
+  /** The platform's store of published items. */
+  Endpoint store;
+  /** Where callers ask which addresses to use. */
+  Endpoint directory;
+  /** Where the platform asks whether this instance is ready. */
+  Endpoint readiness;
+  /** What this instance can bear, relative to the others. */
+  int weight = 1;
+  /** What may be admitted beyond the rates of client accounts. */
+  UsageTolerance tolerance;
+  /** Repeats that the fleet may make, as a part of its requests. */
+  RetryPolicy retries;
+  /** Time from the signal to stop until the process is killed. */
+  std::chrono::milliseconds stop_grace{10000};
+  /** How long a caller may keep the answer to "which address". */
+  std::chrono::milliseconds address_keep{5000};
+  /** False: keyed requests run although the configuration may be stale. */
+  bool fenced_when_stale = true;
+};
+
 /** What an instance is told when it starts. */
 struct Settings {
   /** Id, data centre and endpoints of this instance. */
@@ -24,6 +50,8 @@
   int worker_threads = 2;
   /** Log lines below this level are left out. */
   LogLevel log_level = LogLevel::kInfo;
+  /** Set if there is no instance list and no configuration service. */
+  std::optional<FleetSettings> fleet;
 };
 
 /** Settings that an instance cannot start with, with all of their faults. */
--- a/src/process/lock_rank.h
+++ b/src/process/lock_rank.h
@@ -8,8 +8,11 @@
  * than every rank it holds. This is the whole list.
  */
 enum class LockRank {
+  kFeedApply = 5,
   kVersion = 10,
   kMembership = 20,
+  kFleet = 22,
+  kFeed = 25,
   kAccount = 30,
   kServer = 40,
   kConnection = 50,
--- a/src/process/peers/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
@@ -27,6 +28,12 @@
 constexpr int64_t kMaxInFlight = 1000000;
 constexpr Duration kMaxAge = std::chrono::hours(24 * 366);
 constexpr Duration kMaxLeaseDuration = std::chrono::seconds(10);
+constexpr int64_t kMaxMemberWeight = 1000000;
+constexpr size_t kMaxFeedItems = 65536;
+
+// Demands are sent in tenths of a request per second.
+constexpr double kUsageUnit = 10;
+constexpr int64_t kMaxUsageUnits = 100000000;
 
 constexpr std::array<const char*, 3> kInstanceStates{"joining", "serving",
                                                      "leaving"};
@@ -47,6 +54,12 @@
   return ToMicroseconds(std::clamp(age, Duration::zero(), kMaxAge));
 }
 
+int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::clamp(duration, Duration::zero(), kMaxAge))
+      .count();
+}
+
 Json Encode(const Hello& hello) {
   return {{"t", "hello"},
           {"instance", hello.instance.value()},
@@ -255,6 +268,123 @@
   return message;
 }
 
+// Instances and items are arrays and not maps: they are sent often, and
+// between data centres every byte counts.
+
+Json Encode(const MemberNews& news) {
+  Json entries = Json::array();
+  for (const Member& member : news.members) {
+    entries.push_back({member.data_centre.value(),
+                       ToString(member.caller_endpoint),
+                       ToString(member.peer_endpoint), member.weight,
+                       member.incarnation, static_cast<int>(member.state)});
+  }
+  return {{"t", "member_news"}, {"members", std::move(entries)}};
+}
+
+Member DecodeMember(const Json& entry) {
+  Member member;
+  member.data_centre = DataCentreId(NameIn(entry, 0));
+  member.caller_endpoint = EndpointIn(entry, 1);
+  member.peer_endpoint = EndpointIn(entry, 2);
+  member.weight = static_cast<int>(IntegerIn(entry, 3, 1, kMaxMemberWeight));
+  member.incarnation =
+      static_cast<uint64_t>(IntegerIn(entry, 4, 0, INT64_MAX - 1));
+  member.state = static_cast<MemberState>(IntegerIn(entry, 5, 0, 2));
+  member.id = IdOfEndpoint(member.peer_endpoint);
+  return member;
+}
+
+MemberNews DecodeMemberNews(const Json& json) {
+  MemberNews news;
+  for (const Json& entry : ArrayAt(json, "members", kMaxInstances))
+    news.members.push_back(DecodeMember(entry));
+  return news;
+}
+
+int64_t ToUsageUnits(double per_s) {
+  return std::min<int64_t>(std::llround(per_s * kUsageUnit), kMaxUsageUnits);
+}
+
+double DemandIn(const Json& entry, size_t index) {
+  return static_cast<double>(IntegerIn(entry, index, 0, kMaxUsageUnits)) /
+         kUsageUnit;
+}
+
+Json Encode(const MemberBeat& beat) {
+  Json json{{"t", "member_beat"}, {"r", beat.feed_revision}};
+  if (beat.reading)
+    json["g"] = true;
+  if (beat.feed_age)
+    json["a"] = ToMilliseconds(*beat.feed_age);
+  if (beat.covered == 0)
+    return json;
+  json["s"] = static_cast<int>(beat.scope);
+  json["n"] = beat.covered;
+  Json usage = Json::array();
+  for (const AccountUsage& one : beat.usage) {
+    usage.push_back({one.client_account.value(), ToUsageUnits(one.demand_per_s),
+                     ToUsageUnits(one.own_per_s)});
+  }
+  json["u"] = std::move(usage);
+  return json;
+}
+
+MemberBeat DecodeMemberBeat(const Json& json) {
+  MemberBeat beat;
+  beat.feed_revision = RevisionAt(json, "r");
+  beat.reading = json.contains("g") && FlagAt(json, "g");
+  if (json.contains("a"))
+    beat.feed_age = std::chrono::milliseconds(
+        IntegerAt(json, "a", 0, ToMilliseconds(kMaxAge)));
+  if (!json.contains("n"))
+    return beat;
+  beat.scope = static_cast<UsageScope>(IntegerAt(json, "s", 0, 2));
+  beat.covered = static_cast<int>(IntegerAt(json, "n", 1, kMaxInstances));
+  for (const Json& entry : ArrayAt(json, "u", kMaxSpareShares)) {
+    beat.usage.push_back({ClientAccountId(NameIn(entry, 0)), DemandIn(entry, 1),
+                          DemandIn(entry, 2)});
+  }
+  return beat;
+}
+
+Json Encode(const FeedRequest& request) {
+  return {{"t", "feed_request"}, {"after", request.after}};
+}
+
+FeedRequest DecodeFeedRequest(const Json& json) {
+  return {RevisionAt(json, "after")};
+}
+
+Json Encode(const FeedUpdate& update) {
+  Json items = Json::array();
+  for (const StoreItem& item : update.items) {
+    items.push_back(
+        {item.key, item.revision, item.deleted, ToBytes(item.value)});
+  }
+  return {{"t", "feed_update"},
+          {"after", update.after},
+          {"up_to", update.up_to},
+          {"whole", update.whole},
+          {"items", std::move(items)}};
+}
+
+FeedUpdate DecodeFeedUpdate(const Json& json) {
+  FeedUpdate update;
+  update.after = RevisionAt(json, "after");
+  update.up_to = RevisionAt(json, "up_to");
+  update.whole = FlagAt(json, "whole");
+  for (const Json& entry : ArrayAt(json, "items", kMaxFeedItems)) {
+    StoreItem item;
+    item.key = TextIn(entry, 0);
+    item.revision = static_cast<uint64_t>(IntegerIn(entry, 1, 0, kMaxRevision));
+    item.deleted = FlagIn(entry, 2);
+    item.value = BytesIn(entry, 3);
+    update.items.push_back(std::move(item));
+  }
+  return update;
+}
+
 PeerMessage DecodeTyped(const Json& json, const std::string& type) {
   if (type == "hello")
     return DecodeHello(json);
@@ -276,6 +406,14 @@
     return LeaseRelease{LeaseIdAt(json)};
   if (type == "instance_list")
     return DecodeInstanceList(json);
+  if (type == "member_news")
+    return DecodeMemberNews(json);
+  if (type == "member_beat")
+    return DecodeMemberBeat(json);
+  if (type == "feed_request")
+    return DecodeFeedRequest(json);
+  if (type == "feed_update")
+    return DecodeFeedUpdate(json);
   throw PeerMessageError("unknown type of message");
 }
 
--- a/src/process/peers/io/peer_fields.cc
+++ b/src/process/peers/io/peer_fields.cc
@@ -36,19 +36,19 @@
   return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
 }
 
-}  // namespace
+// Names an entry of an array in errors.
+constexpr char kEntry[] = "(entry of an array)";
 
-const Json& FieldAt(const Json& map, const char* name) {
-  if (!map.is_object())
-    Throw(name, "a map around it");
-  const auto found = map.find(name);
-  if (found == map.end())
-    Throw(name, "a value");
-  return *found;
+const Json& EntryIn(const Json& array, size_t index) {
+  if (!array.is_array() || index >= array.size())
+    Throw(kEntry, "a value");
+  return array[index];
 }
 
-int64_t IntegerAt(const Json& map, const char* name, int64_t min, int64_t max) {
-  const Json& value = FieldAt(map, name);
+int64_t IntegerOf(const Json& value,
+                  const char* name,
+                  int64_t min,
+                  int64_t max) {
   if (!value.is_number_integer())
     Throw(name, "an integer");
   // Read as int64_t, an unsigned value over its maximum would be negative.
@@ -61,6 +61,50 @@
   return integer;
 }
 
+bool FlagOf(const Json& value, const char* name) {
+  if (!value.is_boolean())
+    Throw(name, "true or false");
+  return value.get<bool>();
+}
+
+std::string TextOf(const Json& value, const char* name, size_t max_bytes) {
+  if (!value.is_string() ||
+      value.get_ref<const std::string&>().size() > max_bytes)
+    Throw(name, "text that is not too long");
+  return value.get<std::string>();
+}
+
+std::string NameOf(const Json& value, const char* name) {
+  std::string text = TextOf(value, name, kMaxIdBytes);
+  if (text.empty() || std::any_of(text.begin(), text.end(), IsControl) ||
+      !IsUtf8(text))
+    Throw(name, "a name in UTF-8");
+  return text;
+}
+
+Endpoint EndpointOf(const Json& value, const char* name) {
+  try {
+    return ParseEndpoint(TextOf(value, name, kMaxIdBytes));
+  } catch (const std::invalid_argument&) {
+    Throw(name, "an endpoint");
+  }
+}
+
+}  // namespace
+
+const Json& FieldAt(const Json& map, const char* name) {
+  if (!map.is_object())
+    Throw(name, "a map around it");
+  const auto found = map.find(name);
+  if (found == map.end())
+    Throw(name, "a value");
+  return *found;
+}
+
+int64_t IntegerAt(const Json& map, const char* name, int64_t min, int64_t max) {
+  return IntegerOf(FieldAt(map, name), name, min, max);
+}
+
 uint64_t RevisionAt(const Json& map, const char* name) {
   return static_cast<uint64_t>(
       IntegerAt(map, name, 0, static_cast<int64_t>(kMaxRevision)));
@@ -71,10 +115,7 @@
 }
 
 bool FlagAt(const Json& map, const char* name) {
-  const Json& value = FieldAt(map, name);
-  if (!value.is_boolean())
-    Throw(name, "true or false");
-  return value.get<bool>();
+  return FlagOf(FieldAt(map, name), name);
 }
 
 Duration MicrosecondsAt(const Json& map, const char* name, Duration max) {
@@ -93,19 +134,11 @@
 }
 
 std::string TextAt(const Json& map, const char* name, size_t max_bytes) {
-  const Json& value = FieldAt(map, name);
-  if (!value.is_string() ||
-      value.get_ref<const std::string&>().size() > max_bytes)
-    Throw(name, "text that is not too long");
-  return value.get<std::string>();
+  return TextOf(FieldAt(map, name), name, max_bytes);
 }
 
 std::string NameAt(const Json& map, const char* name) {
-  std::string text = TextAt(map, name, kMaxIdBytes);
-  if (text.empty() || std::any_of(text.begin(), text.end(), IsControl) ||
-      !IsUtf8(text))
-    Throw(name, "a name in UTF-8");
-  return text;
+  return NameOf(FieldAt(map, name), name);
 }
 
 std::string DigestAt(const Json& map, const char* name) {
@@ -117,11 +150,7 @@
 }
 
 Endpoint EndpointAt(const Json& map, const char* name) {
-  try {
-    return ParseEndpoint(TextAt(map, name, kMaxIdBytes));
-  } catch (const std::invalid_argument&) {
-    Throw(name, "an endpoint");
-  }
+  return EndpointOf(FieldAt(map, name), name);
 }
 
 const Json& ArrayAt(const Json& map, const char* name, size_t max_count) {
@@ -131,6 +160,33 @@
   return value;
 }
 
+int64_t IntegerIn(const Json& array, size_t index, int64_t min, int64_t max) {
+  return IntegerOf(EntryIn(array, index), kEntry, min, max);
+}
+
+bool FlagIn(const Json& array, size_t index) {
+  return FlagOf(EntryIn(array, index), kEntry);
+}
+
+std::string TextIn(const Json& array, size_t index) {
+  return TextOf(EntryIn(array, index), kEntry, kMaxIdBytes);
+}
+
+std::string NameIn(const Json& array, size_t index) {
+  return NameOf(EntryIn(array, index), kEntry);
+}
+
+std::string BytesIn(const Json& array, size_t index) {
+  const Json& value = EntryIn(array, index);
+  if (!value.is_binary())
+    Throw(kEntry, "bytes");
+  return {value.get_binary().begin(), value.get_binary().end()};
+}
+
+Endpoint EndpointIn(const Json& array, size_t index) {
+  return EndpointOf(EntryIn(array, index), kEntry);
+}
+
 size_t ChoiceAt(const Json& map,
                 const char* name,
                 const char* const* words,
--- a/src/process/peers/io/peer_fields.h
+++ b/src/process/peers/io/peer_fields.h
@@ -61,6 +61,18 @@
                               const char* name,
                               size_t max_count);
 
+// The same for the entries of an array, by index.
+
+int64_t IntegerIn(const nlohmann::json& array,
+                  size_t index,
+                  int64_t min,
+                  int64_t max);
+bool FlagIn(const nlohmann::json& array, size_t index);
+std::string TextIn(const nlohmann::json& array, size_t index);
+std::string NameIn(const nlohmann::json& array, size_t index);
+std::string BytesIn(const nlohmann::json& array, size_t index);
+Endpoint EndpointIn(const nlohmann::json& array, size_t index);
+
 /** The index of the field's text in the `count` words from `words` on. */
 size_t ChoiceAt(const nlohmann::json& map,
                 const char* name,
--- a/src/process/peers/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "process/clock.h"
+#include "process/fleet/member.h"
 #include "process/membership/membership.h"
+#include "process/registry/published_store.h"
 #include "process/servers/server_state.h"
 #include "version/ids.h"
 
@@ -104,6 +106,50 @@
   InstanceList list;
 };
 
+/** Changes to the fleet that the sender knows of. */
+struct MemberNews {
+  std::vector<Member> members;
+};
+
+/** Requests of a client account, per second. */
+struct AccountUsage {
+  ClientAccountId client_account;
+  double demand_per_s = 0;
+  /** The part of it that comes to the sender itself. */
+  double own_per_s = 0;
+};
+
+/** What the demands in a beat are the sum of. */
+enum class UsageScope { kInstance, kDataCentre, kFleet };
+
+/** Sent over every link at a fixed spacing: a sign of life, and the state. */
+struct MemberBeat {
+  /** Revision of the platform's store up to which the sender's copy goes. */
+  uint64_t feed_revision = 0;
+  /** The sender reads the store itself. */
+  bool reading = false;
+  /** Time since that copy was known to be current. */
+  std::optional<Duration> feed_age;
+  UsageScope scope = UsageScope::kInstance;
+  /** Instances whose demands are summed up; 0 if there are no demands. */
+  int covered = 0;
+  std::vector<AccountUsage> usage;
+};
+
+/** Asks for the changes of the platform's store after a revision. */
+struct FeedRequest {
+  uint64_t after = 0;
+};
+
+/** Changes of the platform's store. */
+struct FeedUpdate {
+  uint64_t after = 0;
+  uint64_t up_to = 0;
+  /** `items` is all that the store held at `up_to`. */
+  bool whole = false;
+  std::vector<StoreItem> items;
+};
+
 using PeerMessage = std::variant<Hello,
                                  Proof,
                                  Heartbeat,
@@ -113,7 +159,11 @@
                                  LeaseRequest,
                                  LeaseGrant,
                                  LeaseRelease,
-                                 InstanceListMessage>;
+                                 InstanceListMessage,
+                                 MemberNews,
+                                 MemberBeat,
+                                 FeedRequest,
+                                 FeedUpdate>;
 
 /** A message and the instance that it goes to. */
 struct OutgoingMessage {
--- /dev/null
+++ b/src/process/registry/feed.cc
@@ -0,0 +1,215 @@
+#include "process/registry/feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangodoor {
+namespace {
+
+// A request to a peer counts as lost after this time.
+constexpr Duration kRequestWait = std::chrono::milliseconds(500);
+
+// What a beat said of its sender counts for this long.
+constexpr Duration kBeatValid = std::chrono::milliseconds(1500);
+
+// Bytes between data centres are dear, so the own one comes first.
+constexpr Duration kAskFarAfter = std::chrono::milliseconds(1000);
+
+// The functions below are called with the feed locked.
+
+bool LowerRankReads(const Feed& feed, const FeedPlace& place, TimePoint now) {
+  return std::any_of(feed.peers.begin(), feed.peers.end(), [&](const auto& p) {
+    const auto rank = place.neighbours.find(p.first);
+    return rank != place.neighbours.end() && rank->second < place.rank &&
+           p.second.reading && now - p.second.heard <= kBeatValid;
+  });
+}
+
+/** True if the own data centre is likely to get the changes by itself. */
+bool SomeoneNearReads(const Feed& feed, const FeedPlace& place, TimePoint now) {
+  return IsReading(feed.reader) ||
+         std::any_of(feed.peers.begin(), feed.peers.end(), [&](const auto& p) {
+           return place.neighbours.count(p.first) > 0 && p.second.reading &&
+                  now - p.second.heard <= kBeatValid;
+         });
+}
+
+FeedUpdate ToMessage(const StoreChanges& changes) {
+  FeedUpdate update;
+  update.after = changes.after;
+  update.up_to = changes.up_to;
+  update.whole = changes.whole;
+  update.items = changes.items;
+  return update;
+}
+
+/** Sends news to the linked instances of the own data centre. */
+void PushNews(const Feed& feed,
+              const FeedPlace& place,
+              uint64_t revision_before,
+              FeedActions& actions) {
+  if (feed.replica.revision == revision_before)
+    return;
+  for (const auto& [peer, rank] : place.neighbours) {
+    const auto known = feed.peers.find(peer);
+    const uint64_t has =
+        known == feed.peers.end() ? revision_before : known->second.revision;
+    if (has >= feed.replica.revision)
+      continue;
+    actions.messages.push_back(
+        {peer, ToMessage(ChangesAfter(feed.replica,
+                                      std::max(has, revision_before)))});
+  }
+}
+
+void NoteAhead(Feed& feed, TimePoint now) {
+  if (!feed.behind_since)
+    feed.behind_since = now;
+}
+
+}  // namespace
+
+FeedActions TickFeed(Feed& feed, const FeedPlace& place, TimePoint now) {
+  OrderedLock lock(feed.mutex);
+  FeedActions actions;
+  ReaderInputs inputs;
+  inputs.now = now;
+  inputs.rank = place.rank;
+  inputs.lower_rank_reads = LowerRankReads(feed, place, now);
+  inputs.revision = feed.replica.revision;
+  actions.read = PlanRead(feed.reader, inputs);
+  return actions;
+}
+
+FeedActions FinishStoreRead(Feed& feed,
+                            const FeedPlace& place,
+                            StoreAnswer answer,
+                            TimePoint now) {
+  OrderedLock lock(feed.mutex);
+  FeedActions actions;
+  const StoreAnswer::Kind kind = answer.kind;
+  const uint64_t before = feed.replica.revision;
+  if (kind == StoreAnswer::Kind::kItems) {
+    if (feed.reader.phase == FeedReader::Phase::kReloading) {
+      if (!AddPage(feed.reader.reload, std::move(answer))) {
+        actions.read.kind = ReadStart::Kind::kPage;
+        actions.read.after_key = feed.reader.reload.after_key;
+        actions.read.freshness =
+            before == 0 ? ReadFreshness::kMayLag : ReadFreshness::kCurrent;
+        return actions;
+      }
+      actions.news =
+          ApplyReload(feed.replica, std::exchange(feed.reader.reload, {}));
+    } else {
+      StoreChanges changes;
+      changes.after = before;
+      changes.up_to = answer.revision;
+      changes.items = std::move(answer.items);
+      actions.news = ApplyChanges(feed.replica, changes);
+      feed.confirmed_at = now;
+    }
+  }
+  FinishRead(feed.reader, kind, !actions.news.empty(), now);
+  PushNews(feed, place, before, actions);
+  return actions;
+}
+
+FeedActions HandleFeedBeat(Feed& feed,
+                           const FeedPlace& place,
+                           const InstanceId& from,
+                           const MemberBeat& beat,
+                           TimePoint now) {
+  OrderedLock lock(feed.mutex);
+  FeedActions actions;
+  feed.peers[from] = {beat.feed_revision, beat.reading, now};
+  if (beat.feed_revision <= feed.replica.revision) {
+    if (beat.feed_revision == feed.replica.revision && beat.feed_age) {
+      feed.confirmed_at = std::max(feed.confirmed_at.value_or(TimePoint()),
+                                   now - *beat.feed_age);
+    }
+    if (beat.feed_revision == feed.replica.revision)
+      feed.behind_since.reset();
+    return actions;
+  }
+  NoteAhead(feed, now);
+  const bool near = place.neighbours.count(from) > 0;
+  if (!near && SomeoneNearReads(feed, place, now) &&
+      now - *feed.behind_since < kAskFarAfter)
+    return actions;
+  if (feed.requested_at && now - *feed.requested_at < kRequestWait)
+    return actions;
+  feed.requested_at = now;
+  actions.messages.push_back({from, FeedRequest{feed.replica.revision}});
+  return actions;
+}
+
+FeedActions HandleFeedRequest(const Feed& feed,
+                              const InstanceId& from,
+                              const FeedRequest& request) {
+  OrderedLock lock(feed.mutex);
+  FeedActions actions;
+  if (feed.replica.revision > request.after) {
+    actions.messages.push_back(
+        {from, ToMessage(ChangesAfter(feed.replica, request.after))});
+  }
+  return actions;
+}
+
+FeedActions HandleFeedUpdate(Feed& feed,
+                             const FeedPlace& place,
+                             const InstanceId& from,
+                             const FeedUpdate& update,
+                             TimePoint now) {
+  OrderedLock lock(feed.mutex);
+  FeedActions actions;
+  const uint64_t before = feed.replica.revision;
+  StoreChanges changes;
+  changes.after = update.after;
+  changes.up_to = update.up_to;
+  changes.whole = update.whole;
+  changes.items = update.items;
+  if (JoinsOn(feed.replica, changes)) {
+    feed.requested_at.reset();
+    feed.behind_since.reset();
+    actions.news = ApplyChanges(feed.replica, changes);
+    // What comes from afar is news to the whole data centre.
+    if (place.neighbours.count(from) == 0)
+      PushNews(feed, place, before, actions);
+  } else if (update.up_to > feed.replica.revision) {
+    feed.requested_at = now;
+    actions.messages.push_back({from, FeedRequest{feed.replica.revision}});
+  }
+  return actions;
+}
+
+void ForgetPeer(Feed& feed, const InstanceId& peer) {
+  OrderedLock lock(feed.mutex);
+  feed.peers.erase(peer);
+}
+
+void DescribeFeed(const Feed& feed, TimePoint now, MemberBeat& beat) {
+  OrderedLock lock(feed.mutex);
+  beat.feed_revision = feed.replica.revision;
+  beat.reading = IsReading(feed.reader);
+  if (feed.confirmed_at)
+    beat.feed_age = now - *feed.confirmed_at;
+}
+
+std::optional<Duration> FeedAge(const Feed& feed, TimePoint now) {
+  OrderedLock lock(feed.mutex);
+  if (!feed.confirmed_at)
+    return std::nullopt;
+  return now - *feed.confirmed_at;
+}
+
+uint64_t FeedRevision(const Feed& feed) {
+  OrderedLock lock(feed.mutex);
+  return feed.replica.revision;
+}
+
+std::optional<TimePoint> NextFeedTick(const Feed& feed) {
+  OrderedLock lock(feed.mutex);
+  return NextRead(feed.reader);
+}
+
+}  // namespace mangodoor
--- a/src/process/servers/attempt_table.cc
+++ b/src/process/servers/attempt_table.cc
@@ -1,5 +1,8 @@
 #include "process/servers/attempt_table.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace mangodoor {
 namespace {
 
@@ -8,6 +11,12 @@
 constexpr int kRequestsPerRepeat = 5;
 constexpr int kMinRepeats = 3;
 
+// What a fleet policy allows is not used up, since the requests and repeats
+// of the instances fall into windows that slide.
+constexpr double kShareUsed = 0.85;
+// Repeats that requests may earn in advance.
+constexpr double kMostSaved = 4;
+
 /** The budget as it is at `now`, with old seconds dropped. */
 RetryBudget Advanced(RetryBudget budget, TimePoint now) {
   if (now < budget.second_start + kPeriod)
@@ -41,13 +50,55 @@
   ++budget.repeats;
 }
 
-void BeginRequest(AttemptTable& table, TimePoint now) {
+void CountRequest(RetryShare& share, const RetryPolicy& policy) {
+  share.repeats += policy.ratio * kShareUsed;
+}
+
+bool MayRepeat(RetryShare& share,
+               const RetryPolicy& policy,
+               int instances,
+               TimePoint now) {
+  const double slack = kShareUsed * policy.fleet_slack / std::max(1, instances);
+  if (!std::exchange(share.started, true)) {
+    share.updated = now;
+    share.repeats += slack / 2;
+  }
+  const double windows = std::chrono::duration<double>(now - share.updated) /
+                         std::chrono::duration<double>(policy.window);
+  share.updated = now;
+  share.repeats += slack / 2 * windows;
+  share.repeats = std::min(share.repeats, slack / 2 + kMostSaved);
+  return share.repeats >= 1;
+}
+
+void CountRepeat(RetryShare& share) {
+  share.repeats -= 1;
+}
+
+void BeginRequest(AttemptTable& table,
+                  const ServiceId& service,
+                  TimePoint now) {
+  OrderedLock lock(table.mutex);
+  if (table.policy)
+    CountRequest(table.shares[service], *table.policy);
+  else
+    CountRequest(table.budget, now);
+}
+
+void NoteInstances(AttemptTable& table, int instances) {
   OrderedLock lock(table.mutex);
-  CountRequest(table.budget, now);
+  table.instances = instances;
 }
 
-bool TakeRepeat(AttemptTable& table, TimePoint now) {
+bool TakeRepeat(AttemptTable& table, const ServiceId& service, TimePoint now) {
   OrderedLock lock(table.mutex);
+  if (table.policy) {
+    RetryShare& share = table.shares[service];
+    const bool may = MayRepeat(share, *table.policy, table.instances, now);
+    if (may)
+      CountRepeat(share);
+    return may;
+  }
   if (!MayRepeat(table.budget, now))
     return false;
   CountRepeat(table.budget, now);
--- /dev/null
+++ b/src/process/servers/reported_load.cc
@@ -0,0 +1,48 @@
+#include "process/servers/reported_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangodoor {
+namespace {
+
+// Requests of others end within some service times.
+constexpr Duration kOthersTime = std::chrono::milliseconds(300);
+
+// A neighbour that takes a server's processor is gone after about this time.
+constexpr Duration kSlownessTime = std::chrono::milliseconds(150);
+
+double Fading(Duration age, Duration time) {
+  return std::exp(-std::chrono::duration<double>(age) /
+                  std::chrono::duration<double>(time));
+}
+
+}  // namespace
+
+void NoteStatement(ReportedLoad& load,
+                   const LoadStatement& statement,
+                   int own,
+                   TimePoint now) {
+  load.others = std::max(0, statement.running + statement.waiting - own);
+  load.slowness = std::max(0.01, statement.slowness);
+  load.at = now;
+}
+
+double OthersNow(const ReportedLoad& load, TimePoint now) {
+  return load.others * Fading(now - load.at, kOthersTime);
+}
+
+double SlownessNow(const ReportedLoad& load, TimePoint now) {
+  return 1 + (load.slowness - 1) * Fading(now - load.at, kSlownessTime);
+}
+
+double ExpectedTime(const ReportedLoad& load,
+                    int own,
+                    int slots,
+                    TimePoint now) {
+  const double there = own + OthersNow(load, now) + 1;
+  const double waiting = std::max(0.0, there - slots);
+  return SlownessNow(load, now) * (1 + waiting / std::max(1, slots));
+}
+
+}  // namespace mangodoor
--- /dev/null
+++ b/src/process/servers/reported_load.h
@@ -0,0 +1,49 @@
+#ifndef PROCESS_SERVERS_REPORTED_LOAD_H_
+#define PROCESS_SERVERS_REPORTED_LOAD_H_
+
+#include "process/clock.h"
+
+namespace mangodoor {
+
+/** What a server said of its load, with an answer or to a probe. */
+struct LoadStatement {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+  /** How long work takes there now, relative to usual. */
+  double slowness = 1;
+};
+
+/** The latest statement of a server, and what it meant when it came. */
+struct ReportedLoad {
+  /** Requests there that this instance had not sent. */
+  double others = 0;
+  double slowness = 1;
+  /** The epoch of the clock until the first statement. */
+  TimePoint at{};
+};
+
+/** Takes over a statement that came while `own` requests were there. */
+void NoteStatement(ReportedLoad& load,
+                   const LoadStatement& statement,
+                   int own,
+                   TimePoint now);
+
+/** Requests of other instances there now; fades with the statement's age. */
+double OthersNow(const ReportedLoad& load, TimePoint now);
+
+/** How long work takes there now, relative to usual; fades towards 1. */
+double SlownessNow(const ReportedLoad& load, TimePoint now);
+
+/**
+ * Expected time of one more request, relative to one that is alone at a
+ * server of usual speed.
+ */
+double ExpectedTime(const ReportedLoad& load,
+                    int own,
+                    int slots,
+                    TimePoint now);
+
+}  // namespace mangodoor
+
+#endif  // PROCESS_SERVERS_REPORTED_LOAD_H_
--- a/src/process/servers/server_choice.cc
+++ b/src/process/servers/server_choice.cc
@@ -13,12 +13,13 @@
          wish.tried.end();
 }
 
-bool IsPermitted(const ServiceEntry& service,
+bool IsPermitted(const ServerPool& pool,
+                 const ServiceEntry& service,
                  const ServerEntry& server,
                  const ServerWish& wish,
                  TimePoint now) {
   return !WasTried(wish, server) &&
-         server.outstanding < Allowance(service, server, now);
+         server.outstanding < Allowance(pool, service, server, now);
 }
 
 /** Servers that may take the request now, by how well they are known. */
@@ -29,15 +30,18 @@
   ServerEntry* trial = nullptr;
 };
 
-Choice Sort(ServiceEntry& service, const ServerWish& wish, TimePoint now) {
+Choice Sort(const ServerPool& pool,
+            ServiceEntry& service,
+            const ServerWish& wish,
+            TimePoint now) {
   Choice choice;
   for (ServerEntry* server : service.servers) {
-    if (!IsPermitted(service, *server, wish, now))
+    if (!IsPermitted(pool, service, *server, wish, now))
       continue;
     if (IsEjected(server->ejection)) {
       if (MayTry(server->ejection, server->outstanding, now))
         choice.trial = server;
-    } else if (server->cold_start.cold) {
+    } else if (!server->discovered && server->cold_start.cold) {
       choice.cold.push_back(server);
     } else {
       choice.warm.push_back(server);
@@ -46,9 +50,20 @@
   return choice;
 }
 
+// An answer from another data centre costs more than a short wait.
+constexpr double kOtherDataCentrePenalty = 1.0;
+
+double DiscoveredScore(const ServerEntry& server, TimePoint now) {
+  const double expected =
+      ExpectedTime(server.reported, server.outstanding, server.slots, now);
+  return server.own_data_centre ? expected : expected + kOtherDataCentrePenalty;
+}
+
 double ScoreOf(const ServiceEntry& service,
                const ServerEntry& server,
                TimePoint now) {
+  if (server.discovered)
+    return DiscoveredScore(server, now);
   const Duration latency =
       server.latency.samples > 0 ? server.latency.mean : service.latency.p50;
   // An unknown latency must not make all scores equal to zero.
@@ -89,6 +104,7 @@
 }
 
 void Reserve(ServerEntry& server, TimePoint now) {
+  NoteSent(server.cold, now);
   ++server.outstanding;
   server.starts.push_back(now);
 }
@@ -147,11 +163,12 @@
 
 }  // namespace
 
-ServerEntry* ReserveServer(ServiceEntry& service,
+ServerEntry* ReserveServer(const ServerPool& pool,
+                           ServiceEntry& service,
                            const ServerWish& wish,
                            TimePoint now,
                            uint64_t random) {
-  const Choice choice = Sort(service, wish, now);
+  const Choice choice = Sort(pool, service, wish, now);
   ServerEntry* server = nullptr;
   if (choice.trial && wish.tried.empty())
     server = choice.trial;
@@ -170,9 +187,9 @@
   EndWaits(pool, service, now);
   const auto serve = [&](Waiter& waiter) {
     ServerEntry* server =
-        ReserveServer(service, waiter.wish, now, waiter.random);
+        ReserveServer(pool, service, waiter.wish, now, waiter.random);
     if (server)
-      Decide(pool, waiter, Describe(*server, now));
+      Decide(pool, waiter, Describe(pool, *server, now));
     return server != nullptr;
   };
   while (ServeNext(service.queue, serve)) {
@@ -191,14 +208,14 @@
     return Refuse(ErrorKind::kDeadlineExceeded);
   // A request never overtakes those that wait already.
   ServerEntry* server = service->queue.size == 0
-                            ? ReserveServer(*service, wish, now, random)
+                            ? ReserveServer(pool, *service, wish, now, random)
                             : nullptr;
   if (!server)
     return Enqueue(pool, *service,
                    {++pool.last_ticket, wish, random, std::move(done)});
   ServerReply reply;
   reply.state = ServerReply::State::kChosen;
-  reply.chosen = Describe(*server, now);
+  reply.chosen = Describe(pool, *server, now);
   return reply;
 }
 
--- /dev/null
+++ b/src/process/servers/server_discovery.cc
@@ -0,0 +1,154 @@
+#include <algorithm>
+
+#include "process/servers/server_pool.h"
+
+namespace mangodoor {
+namespace {
+
+/** Keeps only what is needed to end the requests that still run there. */
+void StartAnew(ServerEntry& entry) {
+  const int outstanding = entry.outstanding;
+  std::vector<TimePoint> starts = std::move(entry.starts);
+  entry = ServerEntry();
+  entry.outstanding = outstanding;
+  entry.starts = std::move(starts);
+}
+
+void AdoptPlace(const ServerPool& pool, ServerEntry& entry) {
+  entry.own_data_centre = entry.data_centre == pool.own_data_centre;
+  entry.in_service = !entry.draining_record &&
+                     pool.data_centres_out.count(entry.data_centre) == 0;
+}
+
+void RemoveFrom(ServerPool& pool, ServerEntry& entry) {
+  if (ServiceEntry* service = FindService(pool, entry.service)) {
+    auto& servers = service->servers;
+    servers.erase(std::remove(servers.begin(), servers.end(), &entry),
+                  servers.end());
+  }
+}
+
+void AddTo(ServerPool& pool, ServerEntry& entry) {
+  ServiceEntry* service = FindService(pool, entry.service);
+  if (!service || !service->discovered)
+    return;
+  auto& servers = service->servers;
+  if (std::find(servers.begin(), servers.end(), &entry) == servers.end())
+    servers.push_back(&entry);
+}
+
+void AdoptRecord(ServerPool& pool, const ServerRecord& record, TimePoint now) {
+  ServerEntry& entry = pool.servers[record.id];
+  const bool is_new =
+      entry.id.empty() || !entry.listed || entry.lifetime != record.lifetime ||
+      entry.endpoint != record.endpoint || entry.service != record.service;
+  if (is_new) {
+    RemoveFrom(pool, entry);
+    StartAnew(entry);
+  }
+  entry.id = record.id;
+  entry.discovered = true;
+  entry.lifetime = record.lifetime;
+  entry.service = record.service;
+  entry.data_centre = record.data_centre;
+  entry.endpoint = record.endpoint;
+  entry.slots = record.slots;
+  entry.draining_record = record.draining;
+  NoteColdFor(entry.cold, record.cold_remaining, now);
+  AdoptPlace(pool, entry);
+  AddTo(pool, entry);
+}
+
+void ServeAllQueues(ServerPool& pool, TimePoint now) {
+  for (auto& [id, service] : pool.services)
+    ServeQueue(pool, service, now);
+}
+
+}  // namespace
+
+ServerActions ApplyRecords(ServerPool& pool,
+                           const std::vector<ServerRecord>& records,
+                           const std::vector<BackendServerId>& gone,
+                           TimePoint now) {
+  for (const ServerRecord& record : records)
+    AdoptRecord(pool, record, now);
+  for (const BackendServerId& id : gone) {
+    ServerEntry* entry = FindServer(pool, id);
+    if (!entry || !entry->discovered)
+      continue;
+    RemoveFrom(pool, *entry);
+    entry->listed = false;
+    if (entry->outstanding == 0)
+      pool.servers.erase(id);
+  }
+  ServeAllQueues(pool, now);
+  ServerActions actions;
+  TakeDecisions(pool, actions);
+  return actions;
+}
+
+ServerActions SetDataCentreOut(ServerPool& pool,
+                               const DataCentreId& data_centre,
+                               bool out,
+                               TimePoint now) {
+  if (out)
+    pool.data_centres_out.insert(data_centre);
+  else
+    pool.data_centres_out.erase(data_centre);
+  for (auto& [id, entry] : pool.servers) {
+    if (entry.discovered)
+      AdoptPlace(pool, entry);
+  }
+  ServeAllQueues(pool, now);
+  ServerActions actions;
+  TakeDecisions(pool, actions);
+  return actions;
+}
+
+std::map<DataCentreId, double> CapacityOf(
+    const ServerPool& pool,
+    const std::vector<ServiceId>& services,
+    TimePoint now) {
+  std::map<DataCentreId, double> capacity;
+  for (const ServiceId& id : services) {
+    const auto service = pool.services.find(id);
+    if (service == pool.services.end())
+      continue;
+    for (const ServerEntry* server : service->second.servers) {
+      if (IsUsable(*server, now) && !IsEjected(server->ejection))
+        capacity[server->data_centre] += server->slots;
+    }
+  }
+  return capacity;
+}
+
+void AdoptDiscovered(ServerPool& pool,
+                     ServiceEntry& service,
+                     const Service& document) {
+  service.discovered = true;
+  service.cold_rate_per_s = document.cold_rate_per_s;
+  service.connection_limit = document.connection_limit;
+  service.servers.clear();
+  for (auto& [id, entry] : pool.servers) {
+    if (entry.discovered && entry.listed && entry.service == service.id)
+      service.servers.push_back(&entry);
+  }
+  std::sort(
+      service.servers.begin(), service.servers.end(),
+      [](const ServerEntry* a, const ServerEntry* b) { return a->id < b->id; });
+}
+
+int DiscoveredAllowance(const ServerPool& pool,
+                        const ServiceEntry& service,
+                        const ServerEntry& server,
+                        TimePoint now) {
+  if (!IsUsable(server, now))
+    return 0;
+  if (!MaySendCold(server.cold, service.cold_rate_per_s, pool.near_instances,
+                   now))
+    return 0;
+  const int others = static_cast<int>(OthersNow(server.reported, now));
+  return std::max(1, server.slots - others);
+}
+
+}  // namespace mangodoor
--- a/src/process/servers/server_feedback.cc
+++ b/src/process/servers/server_feedback.cc
@@ -75,6 +75,8 @@
 void NoteBreak(Feedback& feedback, HealthSign sign) {
   feedback.server.broken_at = feedback.now;
   feedback.server.sign = sign;
+  if (feedback.server.discovered)
+    return;
   const bool news = NoteCold(feedback.server.cold_start, feedback.now);
   const bool down = sign == HealthSign::kConnectFailed;
   if (!IsLikelyCutOff(feedback.service, feedback.now) && (news || down))
@@ -158,6 +160,9 @@
 }
 
 void HandleMetrics(Feedback& feedback, const AttemptResult& result) {
+  if (result.statement)
+    NoteStatement(feedback.server.reported, *result.statement,
+                  feedback.server.outstanding, feedback.now);
   if (result.reported_in_flight)
     NoteLoad(feedback.service, feedback.server, *result.reported_in_flight,
              feedback.now);
@@ -175,8 +180,12 @@
     case End::kAnswered:
       HandleAnswer(feedback, result);
       break;
-    case End::kServerError:
     case End::kRefusedByServer:
+      // A full server that registers itself is no broken one.
+      if (!feedback.server.discovered)
+        HandleError(feedback);
+      break;
+    case End::kServerError:
       HandleError(feedback);
       break;
     case End::kConnectFailed:
@@ -291,7 +300,7 @@
 }
 
 /** Ends what is believed for a limited time, and finds slow servers. */
-void TickServer(Feedback& feedback) {
+void TickServer(const ServerPool& pool, Feedback& feedback) {
   ServerEntry& server = feedback.server;
   ServiceEntry& service = feedback.service;
   const TimePoint now = feedback.now;
@@ -304,7 +313,7 @@
       IsTooOld(oldest, LatencyOf(service)))
     EjectAsSlow(feedback, EjectionReason::kOldRequest);
   if (TakeProbe(server.probes, now))
-    feedback.actions.probes.push_back(Describe(server, now));
+    feedback.actions.probes.push_back(Describe(pool, server, now));
 }
 
 }  // namespace
@@ -323,7 +332,10 @@
       pool.servers.erase(id);
     return actions;
   }
-  ServiceEntry& service = pool.services.at(server->service);
+  ServiceEntry* const found = FindService(pool, server->service);
+  if (!found)
+    return actions;
+  ServiceEntry& service = *found;
   Feedback feedback{service, *server, now, actions};
   HandleEnd(feedback, result);
   ServeQueue(pool, service, now);
@@ -377,7 +389,7 @@
   for (auto& [id, service] : pool.services) {
     for (ServerEntry* server : service.servers) {
       Feedback feedback{service, *server, now, actions};
-      TickServer(feedback);
+      TickServer(pool, feedback);
     }
     ServeQueue(pool, service, now);
   }
--- a/src/process/servers/server_pool.cc
+++ b/src/process/servers/server_pool.cc
@@ -23,13 +23,16 @@
          now >= server.down_until;
 }
 
-int Allowance(const ServiceEntry& service,
+int Allowance(const ServerPool& pool,
+              const ServiceEntry& service,
               const ServerEntry& server,
               TimePoint now) {
+  if (server.discovered)
+    return DiscoveredAllowance(pool, service, server, now);
   if (!IsUsable(server, now))
     return 0;
   const RampLimits limits = LimitsOf(service, server);
-  const int connections = ConnectionShare(server, now);
+  const int connections = ConnectionShare(pool, server, now);
   // A ramped server runs `slots` requests for the whole fleet. Each instance
   // may use all of them, because fixed parts would idle while other instances
   // wait; a request beyond `slots` would only queue behind this instance's
@@ -40,7 +43,15 @@
   return std::min(SafeShare(server.places, fleet, now), connections);
 }
 
-int ConnectionShare(const ServerEntry& server, TimePoint now) {
+int ConnectionShare(const ServerPool& pool,
+                    const ServerEntry& server,
+                    TimePoint now) {
+  if (server.discovered) {
+    const auto service = pool.services.find(server.service);
+    const int limit =
+        service == pool.services.end() ? 1 : service->second.connection_limit;
+    return std::max(1, limit / std::max(1, pool.instances));
+  }
   // An instance at an address that is not listed has no share. One
   // connection lets it serve; servers accept a few more than their limit.
   const bool unlisted = std::any_of(server.places.begin(), server.places.end(),
@@ -81,8 +92,10 @@
   return found == pool.services.end() ? nullptr : &found->second;
 }
 
-ChosenServer Describe(const ServerEntry& server, TimePoint now) {
-  return {server.id, server.endpoint, ConnectionShare(server, now)};
+ChosenServer Describe(const ServerPool& pool,
+                      const ServerEntry& server,
+                      TimePoint now) {
+  return {server.id, server.endpoint, ConnectionShare(pool, server, now)};
 }
 
 void Decide(ServerPool& pool,
@@ -117,7 +130,10 @@
   const ServerEntry& entry = found->second;
   // Requests chosen while the server was warm count too: once it is cold,
   // they are given back until the rest is within the allowance.
-  const int allowance = Allowance(pool.services.at(entry.service), entry, now);
+  if (entry.discovered)
+    return IsUsable(entry, now);
+  const int allowance =
+      Allowance(pool, pool.services.at(entry.service), entry, now);
   return allowance > 0 && entry.outstanding <= allowance;
 }
 
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -2,15 +2,20 @@
 #define PROCESS_SERVERS_SERVER_POOL_H_
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 #include "process/servers/cold_start.h"
+#include "process/servers/cold_window.h"
 #include "process/servers/fair_queue.h"
 #include "process/servers/latency.h"
 #include "process/servers/outlier.h"
 #include "process/servers/probe_schedule.h"
+#include "process/servers/reported_load.h"
+#include "process/servers/server_record.h"
 #include "process/servers/server_request.h"
 #include "process/servers/server_score.h"
 #include "process/servers/share_history.h"
@@ -60,6 +65,15 @@
   int outstanding = 0;
   /** Start of each outstanding request, oldest first. */
   std::vector<TimePoint> starts;
+
+  // The fields below are used for servers that register themselves.
+
+  bool discovered = false;
+  int64_t lifetime = 0;
+  /** Its record says that it leaves. */
+  bool draining_record = false;
+  ColdWindow cold;
+  ReportedLoad reported;
 };
 
 /** What this instance knows of one service. */
@@ -75,6 +89,10 @@
   /** Average of reported requests in flight from other instances. */
   double usual_others = 0;
   FairQueue queue;
+  /** Its servers register themselves. */
+  bool discovered = false;
+  double cold_rate_per_s = 0;
+  int connection_limit = 1;
 };
 
 /** A decision on a waiting request that has not been called back yet. */
@@ -88,6 +106,13 @@
   std::unordered_map<BackendServerId, ServerEntry> servers;
   std::unordered_map<ServiceId, ServiceEntry> services;
   std::unordered_map<ClientAccountId, int> weights;
+  DataCentreId own_data_centre;
+  /** Taken out by an operator, apart from what the version says. */
+  std::set<DataCentreId> data_centres_out;
+  /** Instances of the own data centre, which share what a server bears. */
+  int near_instances = 1;
+  /** Instances of the fleet. */
+  int instances = 1;
   uint64_t last_ticket = 0;
   /** Decisions on waiting requests, given out with the next actions. */
   std::vector<Decision> decided;
@@ -99,12 +124,26 @@
 bool IsUsable(const ServerEntry& server, TimePoint now);
 
 /** Requests that this instance may have in flight at the server now. */
-int Allowance(const ServiceEntry& service,
+int Allowance(const ServerPool& pool,
+              const ServiceEntry& service,
               const ServerEntry& server,
               TimePoint now);
 
+/** The same for a server that registers itself. */
+int DiscoveredAllowance(const ServerPool& pool,
+                        const ServiceEntry& service,
+                        const ServerEntry& server,
+                        TimePoint now);
+
+/** Takes over a service whose servers register themselves. */
+void AdoptDiscovered(ServerPool& pool,
+                     ServiceEntry& service,
+                     const Service& document);
+
 /** Connections that this instance may hold to the server. */
-int ConnectionShare(const ServerEntry& server, TimePoint now);
+int ConnectionShare(const ServerPool& pool,
+                    const ServerEntry& server,
+                    TimePoint now);
 
 /** True if one more server of the service may be ejected: at most half. */
 bool MayEjectOneMore(const ServiceEntry& service);
@@ -116,12 +155,15 @@
 ServiceEntry* FindService(ServerPool& pool, const ServiceId& service);
 
 /** Reserves a server for a request, or returns null if none is free. */
-ServerEntry* ReserveServer(ServiceEntry& service,
+ServerEntry* ReserveServer(const ServerPool& pool,
+                           ServiceEntry& service,
                            const ServerWish& wish,
                            TimePoint now,
                            uint64_t random);
 
-ChosenServer Describe(const ServerEntry& server, TimePoint now);
+ChosenServer Describe(const ServerPool& pool,
+                      const ServerEntry& server,
+                      TimePoint now);
 
 /** Gives free servers to waiting requests, and ends hopeless waits. */
 void ServeQueue(ServerPool& pool, ServiceEntry& service, TimePoint now);
@@ -141,6 +183,18 @@
                            const Endpoint& own_address,
                            const DataCentreId& own_data_centre,
                            TimePoint now);
+ServerActions ApplyRecords(ServerPool& pool,
+                           const std::vector<ServerRecord>& records,
+                           const std::vector<BackendServerId>& gone,
+                           TimePoint now);
+ServerActions SetDataCentreOut(ServerPool& pool,
+                               const DataCentreId& data_centre,
+                               bool out,
+                               TimePoint now);
+std::map<DataCentreId, double> CapacityOf(
+    const ServerPool& pool,
+    const std::vector<ServiceId>& services,
+    TimePoint now);
 ServerReply AcquireServer(ServerPool& pool,
                           const ServerWish& wish,
                           TimePoint now,
--- a/src/process/servers/server_request.h
+++ b/src/process/servers/server_request.h
@@ -8,6 +8,7 @@
 
 #include "process/clock.h"
 #include "process/error_kind.h"
+#include "process/servers/reported_load.h"
 #include "process/servers/server_state.h"
 #include "version/endpoint.h"
 #include "version/ids.h"
@@ -78,6 +79,8 @@
   /** From endpoint-load-metrics, if the answer carried them. */
   std::optional<int> reported_in_flight;
   std::optional<bool> reported_cold;
+  /** What the server said of its load beside the above. */
+  std::optional<LoadStatement> statement;
 };
 
 /** Answer of a health probe; no value means that none came. */
--- a/src/process/servers/server_status.cc
+++ b/src/process/servers/server_status.cc
@@ -143,7 +143,7 @@
       status.state = StateOf(*server, now);
       status.reason = ReasonOf(service, *server, now);
       status.outstanding = server->outstanding;
-      status.allowance = Allowance(service, *server, now);
+      status.allowance = Allowance(pool, service, *server, now);
       status.latency = server->latency.mean;
       status.waiting = static_cast<int>(service.queue.size);
       statuses.push_back(std::move(status));
--- a/src/process/servers/server_table.cc
+++ b/src/process/servers/server_table.cc
@@ -1,5 +1,6 @@
 #include "process/servers/server_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mangodoor {
@@ -13,6 +14,36 @@
   return ApplyVersion(table.pool, version, own_address, own_data_centre, now);
 }
 
+ServerActions ApplyRecords(ServerTable& table,
+                           const std::vector<ServerRecord>& records,
+                           const std::vector<BackendServerId>& gone,
+                           TimePoint now) {
+  OrderedLock lock(table.mutex);
+  return ApplyRecords(table.pool, records, gone, now);
+}
+
+ServerActions SetDataCentreOut(ServerTable& table,
+                               const DataCentreId& data_centre,
+                               bool out,
+                               TimePoint now) {
+  OrderedLock lock(table.mutex);
+  return SetDataCentreOut(table.pool, data_centre, out, now);
+}
+
+std::map<DataCentreId, double> CapacityOf(
+    const ServerTable& table,
+    const std::vector<ServiceId>& services,
+    TimePoint now) {
+  OrderedLock lock(table.mutex);
+  return CapacityOf(table.pool, services, now);
+}
+
+void NoteInstances(ServerTable& table, int near, int all) {
+  OrderedLock lock(table.mutex);
+  table.pool.near_instances = std::max(1, near);
+  table.pool.instances = std::max(1, all);
+}
+
 ServerReply AcquireServer(ServerTable& table,
                           const ServerWish& wish,
                           TimePoint now,
--- a/src/process/servers/server_table.h
+++ b/src/process/servers/server_table.h
@@ -1,6 +1,7 @@
 #ifndef PROCESS_SERVERS_SERVER_TABLE_H_
 #define PROCESS_SERVERS_SERVER_TABLE_H_
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -27,6 +28,27 @@
                            const DataCentreId& own_data_centre,
                            TimePoint now);
 
+/** Takes over servers that register themselves, and those that went away. */
+ServerActions ApplyRecords(ServerTable& table,
+                           const std::vector<ServerRecord>& records,
+                           const std::vector<BackendServerId>& gone,
+                           TimePoint now);
+
+/** Takes a data centre out of service, or puts it back. */
+ServerActions SetDataCentreOut(ServerTable& table,
+                               const DataCentreId& data_centre,
+                               bool out,
+                               TimePoint now);
+
+/** Slots of usable servers of the services in each data centre. */
+std::map<DataCentreId, double> CapacityOf(
+    const ServerTable& table,
+    const std::vector<ServiceId>& services,
+    TimePoint now);
+
+/** Notes how many instances share what the servers bear. */
+void NoteInstances(ServerTable& table, int near, int all);
+
 /**
  * Reserves a server. `done` is called later if and only if the reply says
  * waiting. `random` is uniform over all 64-bit values.
--- a/src/process/servers/server_version.cc
+++ b/src/process/servers/server_version.cc
@@ -77,6 +77,11 @@
   entry.ramp = service.ramp;
   entry.cold_max = service.cold_max;
   entry.queue_limit = static_cast<size_t>(std::max(0, service.queue_limit));
+  if (service.discovered) {
+    AdoptDiscovered(pool, entry, service);
+    return;
+  }
+  entry.discovered = false;
   entry.servers.clear();
   for (const BackendServer& server : service.servers) {
     ServerEntry& adopted = pool.servers[server.id];
@@ -93,7 +98,7 @@
       named.insert(server.id);
   }
   for (auto it = pool.servers.begin(); it != pool.servers.end();) {
-    if (named.count(it->first) == 0)
+    if (!it->second.discovered && named.count(it->first) == 0)
       it->second.listed = false;
     const bool drop = !it->second.listed && it->second.outstanding == 0;
     it = drop ? pool.servers.erase(it) : std::next(it);
@@ -121,6 +126,7 @@
                            const DataCentreId& own_data_centre,
                            TimePoint now) {
   const VersionContext context{version, own_address, own_data_centre, now};
+  pool.own_data_centre = own_data_centre;
   pool.weights.clear();
   for (const ClientAccount& account : version.document.client_accounts)
     pool.weights[account.id] = account.weight;
--- a/src/process/status/io/admin_pages.cc
+++ b/src/process/status/io/admin_pages.cc
@@ -14,15 +14,15 @@
 
 }  // namespace
 
-AdminPage ReadinessPage(const Readiness& readiness) {
+Page ReadinessPage(const Readiness& readiness) {
   if (readiness.ready)
     return {200, kText, "ready\n"};
   return {503, kText, "not ready: " + readiness.reason + "\n"};
 }
 
-AdminPage RenderAdminPage(std::string_view target,
-                          const Tables& tables,
-                          const Clock& clock) {
+Page RenderAdminPage(std::string_view target,
+                     const Tables& tables,
+                     const Clock& clock) {
   const std::string_view path = target.substr(0, target.find('?'));
   const TimePoint now = clock.Now();
   if (path == "/healthz")
--- a/src/process/status/io/admin_pages.h
+++ b/src/process/status/io/admin_pages.h
@@ -4,26 +4,21 @@
 #include <string>
 #include <string_view>
 
+#include "process/io/page_server.h"
+
 namespace mangodoor {
 
 class Clock;
 struct Readiness;
 struct Tables;
 
-/** What the admin endpoint answers to GET of one target. */
-struct AdminPage {
-  int http_status = 200;
-  const char* content_type = "text/plain";
-  std::string body;
-};
-
 /** 200 if ready, otherwise 503 with the reason. */
-AdminPage ReadinessPage(const Readiness& readiness);
+Page ReadinessPage(const Readiness& readiness);
 
 /** `target` is a path; what follows a '?' is ignored. */
-AdminPage RenderAdminPage(std::string_view target,
-                          const Tables& tables,
-                          const Clock& clock);
+Page RenderAdminPage(std::string_view target,
+                     const Tables& tables,
+                     const Clock& clock);
 
 }  // namespace mangodoor
 
--- a/src/process/status/io/admin_server.h
+++ b/src/process/status/io/admin_server.h
@@ -1,13 +1,7 @@
 #ifndef PROCESS_STATUS_IO_ADMIN_SERVER_H_
 #define PROCESS_STATUS_IO_ADMIN_SERVER_H_
 
-#include <memory>
-
-#include "version/endpoint.h"
-
-namespace boost::asio {
-class io_context;
-}  // namespace boost::asio
+#include "process/io/page_server.h"
 
 namespace mangodoor {
 
@@ -27,19 +21,15 @@
               const Clock& clock,
               boost::asio::io_context& context,
               const Endpoint& endpoint);
-  ~AdminServer();
-  AdminServer(const AdminServer&) = delete;
-  AdminServer& operator=(const AdminServer&) = delete;
 
   /**
    * Stops listening and closes the connections, so that the threads of the
    * io_context can end. May be called from any thread, more than once.
    */
-  void Stop();
+  void Stop() { server_.Stop(); }
 
  private:
-  struct Listener;
-  std::shared_ptr<Listener> listener_;
+  PageServer server_;
 };
 
 }  // namespace mangodoor
--- a/src/process/tables.h
+++ b/src/process/tables.h
@@ -2,6 +2,7 @@
 #define PROCESS_TABLES_H_
 
 #include "process/accounts/account_table.h"
+#include "process/accounts/usage_table.h"
 #include "process/counters.h"
 #include "process/membership/membership_table.h"
 #include "process/servers/server_table.h"
@@ -15,6 +16,7 @@
   VersionTable versions;
   MembershipTable membership;
   AccountTable accounts;
+  UsageTable usage;
   ServerTable servers;
   AuditTable audit;
   Counters counters;
--- a/src/request/attempt.cc
+++ b/src/request/attempt.cc
@@ -9,8 +9,6 @@
 using End = AttemptReport::End;
 using Step = AttemptDecision::Step;
 
-// A service in trouble fails on most servers; more attempts only add load.
-constexpr int kMaxAttempts = 4;
 constexpr int kServerErrorStatus = 500;
 
 AttemptDecision Fail(ErrorKind error, const AttemptHistory& history) {
@@ -33,7 +31,7 @@
 
 /** The request may be sent again as far as its earlier attempts allow. */
 bool IsRepeatable(const RequestTraits& request, const AttemptHistory& history) {
-  if (history.body_dropped || history.attempts >= kMaxAttempts)
+  if (history.body_dropped || history.attempts >= request.max_attempts)
     return false;
   return request.idempotent || !history.may_have_run;
 }
@@ -120,7 +118,8 @@
               const AttemptHistory& history,
               Duration remaining) {
   return request.idempotent && !request.has_body && history.hedges == 0 &&
-         history.attempts == 0 && remaining > Duration::zero();
+         history.attempts == 0 && request.max_attempts > 1 &&
+         remaining > Duration::zero();
 }
 
 AttemptResult::End ResultOf(const AttemptReport& report, int http_status) {
--- a/src/request/attempt.h
+++ b/src/request/attempt.h
@@ -15,6 +15,8 @@
 struct RequestTraits {
   bool idempotent = false;
   bool has_body = false;
+  /** Backend servers that the request may be sent to. */
+  int max_attempts = 4;
 };
 
 /** How far an attempt came, and how it ended. */
@@ -73,6 +75,8 @@
 struct ErrorPlan {
   ErrorKind error = ErrorKind::kInternal;
   Outcome outcome = Outcome::kUnknown;
+  /** When a caller that was refused does best to come again. */
+  std::optional<Duration> retry_after = std::nullopt;
 };
 
 /** Idempotent by its method, or because the route says so. */
--- a/src/request/authorisation.cc
+++ b/src/request/authorisation.cc
@@ -1,5 +1,7 @@
 #include "request/authorisation.h"
 
+#include <algorithm>
+
 namespace mangodoor {
 namespace {
 
@@ -34,4 +36,29 @@
   return result;
 }
 
+ServiceId PickService(const Route& route, uint64_t random) {
+  if (route.split.empty())
+    return route.service;
+  uint64_t weights = 0;
+  for (const RoutePart& part : route.split)
+    weights += static_cast<uint64_t>(part.weight);
+  uint64_t place = random % std::max<uint64_t>(1, weights);
+  for (const RoutePart& part : route.split) {
+    const auto weight = static_cast<uint64_t>(part.weight);
+    if (place < weight)
+      return part.service;
+    place -= weight;
+  }
+  return route.split.back().service;
+}
+
+bool MaySendTo(const Route& route, const ServiceId& service) {
+  if (route.split.empty())
+    return route.service == service;
+  return std::any_of(route.split.begin(), route.split.end(),
+                     [&service](const RoutePart& part) {
+                       return part.service == service && part.weight > 0;
+                     });
+}
+
 }  // namespace mangodoor
--- a/src/request/authorisation.h
+++ b/src/request/authorisation.h
@@ -28,6 +28,12 @@
                         std::string_view path,
                         const std::string& key_digest);
 
+/** The service that runs a request of the route; `random` is uniform. */
+ServiceId PickService(const Route& route, uint64_t random);
+
+/** True if the route may send requests to the service. */
+bool MaySendTo(const Route& route, const ServiceId& service);
+
 }  // namespace mangodoor
 
 #endif  // REQUEST_AUTHORISATION_H_
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/spawn.hpp>
-#include <random>
 #include <utility>
 
 #include "process/io/action_runner.h"
@@ -17,11 +16,6 @@
 // A hedge sent sooner than this costs more than the wait it may save.
 constexpr std::chrono::milliseconds kMinHedgeDelay{1};
 
-uint64_t RandomValue() {
-  thread_local std::mt19937_64 generator(std::random_device{}());
-  return generator();
-}
-
 /** Gives back a server whose request did not wait for it. */
 void GiveBack(const SessionContext& context, const ChosenServer& server) {
   context.actions.Run(ReleaseServer(context.tables.servers, server.server, {},
@@ -40,9 +34,8 @@
 
 void AttemptRace::WatchDeadline(std::function<void()> passed) {
   deadline_passed_ = std::move(passed);
-  BeginRequest(context_.attempts, context_.clock.Now());
-  hedge_delay_ = HedgeDelay(context_.tables.servers,
-                            request_.authorisation.route->service);
+  BeginRequest(context_.attempts, request_.service, context_.clock.Now());
+  hedge_delay_ = HedgeDelay(context_.tables.servers, request_.service);
   ArmWatch();
 }
 
@@ -70,7 +63,7 @@
 ServerWish AttemptRace::Wish() const {
   const Authorisation& allowed = request_.authorisation;
   return {
-      allowed.route->service,
+      request_.service,
       allowed.client_account ? allowed.client_account->id : ClientAccountId(),
       request_.deadline, tried_};
 }
@@ -80,7 +73,7 @@
     return ErrorKind::kDeadlineExceeded;
   auto delivery = NewDelivery();
   const ServerReply reply = AcquireServer(
-      context_.tables.servers, Wish(), context_.clock.Now(), RandomValue(),
+      context_.tables.servers, Wish(), context_.clock.Now(), context_.random(),
       [delivery](Choice choice) { delivery->Deliver(std::move(choice)); });
   if (reply.state == ServerReply::State::kChosen)
     return reply.chosen;
@@ -92,8 +85,7 @@
   if (choice)
     return *choice;
   delivery->Abandon();
-  CancelWait(context_.tables.servers, request_.authorisation.route->service,
-             reply.ticket);
+  CancelWait(context_.tables.servers, request_.service, reply.ticket);
   return ErrorKind::kDeadlineExceeded;
 }
 
@@ -129,13 +121,13 @@
 
 void AttemptRace::StartHedge() {
   if (!attempt_ || hedge_ || interrupted_ ||
-      !TakeRepeat(context_.attempts, context_.clock.Now()))
+      !TakeRepeat(context_.attempts, request_.service, context_.clock.Now()))
     return;
   ServerWish wish = Wish();
   wish.tried.push_back(attempt_->server().server);
   auto delivery = NewDelivery();
   const ServerReply reply = AcquireServer(
-      context_.tables.servers, wish, context_.clock.Now(), RandomValue(),
+      context_.tables.servers, wish, context_.clock.Now(), context_.random(),
       [delivery](Choice choice) { delivery->Deliver(std::move(choice)); });
   if (reply.state == ServerReply::State::kWaiting) {
     // A hedge that would have to wait adds to a queue that is too long.
--- a/src/request/io/attempt_run.cc
+++ b/src/request/io/attempt_run.cc
@@ -19,12 +19,21 @@
 constexpr size_t kReadSize = 16 * 1024;
 constexpr unsigned kStatusSwitching = 101;
 constexpr unsigned kStatusOk = 200;
+constexpr unsigned kSuccessClass = 2;
 
 std::string_view BytesOf(const boost::beast::flat_buffer& buffer) {
   const auto data = buffer.cdata();
   return {static_cast<const char*>(data.data()), data.size()};
 }
 
+/** Appends a field unless the interface has none of the name. */
+void AppendField(std::string& out,
+                 const std::string& name,
+                 const std::string& value) {
+  if (!name.empty())
+    out += name + ": " + value + "\r\n";
+}
+
 }  // namespace
 
 AttemptRun::AttemptRun(const SessionContext& context,
@@ -112,7 +121,7 @@
   if (now_allowed.error)
     return now_allowed.error;
   // The server was chosen, and the token taken, for these.
-  if (now_allowed.route->service != request_.authorisation.route->service ||
+  if (!MaySendTo(*now_allowed.route, request_.service) ||
       (now_allowed.client_account != nullptr) != keyed ||
       (keyed && now_allowed.client_account->id !=
                     request_.authorisation.client_account->id))
@@ -124,8 +133,14 @@
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
       request_.deadline - context_.clock.Now());
   std::string message = request_.head;
-  message +=
-      "X-Request-Timeout-Ms: " + std::to_string(remaining.count()) + "\r\n\r\n";
+  AppendField(message, context_.names.time_limit,
+              std::to_string(remaining.count()));
+  AppendField(message, context_.names.expected_server, server_.server.value());
+  if (request_.authorisation.client_account) {
+    AppendField(message, context_.names.client_account,
+                request_.authorisation.client_account->id.value());
+  }
+  message += "\r\n";
   message += request_.body;
   report_.bytes_sent = true;
   return !Write(message, yield);
@@ -197,10 +212,16 @@
 }
 
 AttemptReport::End AttemptRun::Classify() const {
+  if (IsBroken())
+    return AttemptReport::End::kBadResponse;
+  if (!context_.names.not_run.empty() && header_[context_.names.not_run] == "1")
+    return AttemptReport::End::kRefusedByServer;
   switch (header_.result()) {
+    case http::status::misdirected_request:
+      return context_.names.expected_server.empty()
+                 ? AttemptReport::End::kResponse
+                 : AttemptReport::End::kRefusedByServer;
     case http::status::service_unavailable:
-      return header_["X-Not-Run"] == "1" ? AttemptReport::End::kRefusedByServer
-                                         : AttemptReport::End::kUnavailable;
     case http::status::bad_gateway:
     case http::status::gateway_timeout:
       return AttemptReport::End::kUnavailable;
@@ -209,9 +230,22 @@
   }
 }
 
+/** True if the answer is not what a server's program makes. */
+bool AttemptRun::IsBroken() const {
+  const CallNames& names = context_.names;
+  if (names.encoded_answer_is_broken &&
+      header_.count(http::field::content_encoding) > 0)
+    return true;
+  const bool success = header_.result_int() / 100 == kSuccessClass;
+  return success && !names.signature.empty() &&
+         header_.count(names.signature) == 0;
+}
+
 void AttemptRun::NoteLoad() {
-  const auto field = header_["endpoint-load-metrics"];
-  const LoadMetrics load = ParseLoadMetrics({field.data(), field.size()});
+  const auto field = header_[context_.names.load];
+  const LoadMetrics load =
+      context_.names.parse_load({field.data(), field.size()});
+  result_.statement = load.statement;
   result_.reported_in_flight = load.in_flight;
   result_.reported_cold = load.cold;
 }
--- a/src/request/io/attempt_run.h
+++ b/src/request/io/attempt_run.h
@@ -69,6 +69,7 @@
   AttemptReport::End ReadHead(YieldContext yield);
   std::optional<AttemptReport::End> ReadOneHead(YieldContext yield);
   AttemptReport::End Classify() const;
+  bool IsBroken() const;
   AttemptReport End(AttemptReport::End end);
   void NoteLoad();
 
--- a/src/request/io/body_upload.cc
+++ b/src/request/io/body_upload.cc
@@ -59,7 +59,7 @@
   std::string out;
   AppendChunk(out, held_);
   if (parser_.is_done())
-    out += "0\r\n" + ForwardedTrailers(parser_.get());
+    out += "0\r\n" + ForwardedTrailers(parser_.get(), context_.names);
   return out;
 }
 
@@ -98,7 +98,7 @@
     else
       out.swap(piece);
     if (chunked && parser_.is_done())
-      out += "0\r\n" + ForwardedTrailers(parser_.get());
+      out += "0\r\n" + ForwardedTrailers(parser_.get(), context_.names);
     // A server may answer early and stop reading: its answer decides.
     if (!out.empty() && attempt.Write(out, yield))
       return;
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -1,9 +1,11 @@
 #include "request/io/message_head.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
+#include <cstdio>
 
 #include "request/deadline.h"
 
@@ -14,9 +16,6 @@
 namespace http = beast::http;
 using http::field;
 
-constexpr std::string_view kKeyField = "X-Api-Key";
-constexpr std::string_view kTimeoutField = "X-Request-Timeout-Ms";
-constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kViaField = "Via: 1.1 mangodoor\r\n";
 constexpr int kVersion10 = 10;
 
@@ -55,27 +54,31 @@
   return !connection.empty() && http::token_list(connection).exists(name);
 }
 
-bool IsKey(const Fields::value_type& one) {
-  return one.name() == field::authorization ||
-         (one.name() == field::unknown &&
-          SameName(one.name_string(), kKeyField));
+bool IsNamed(const Fields::value_type& one, const std::string& name) {
+  return !name.empty() && SameName(one.name_string(), name);
+}
+
+bool IsKey(const Fields::value_type& one, const CallNames& names) {
+  return one.name() == field::authorization || IsNamed(one, names.key_field);
 }
 
 /** Fields that this instance writes itself. */
-bool IsOwnField(const Fields::value_type& one) {
+bool IsOwnField(const Fields::value_type& one, const CallNames& names) {
   if (one.name() == field::content_length || one.name() == field::expect)
     return true;
   if (one.name() != field::unknown)
     return false;
-  return SameName(one.name_string(), kTimeoutField) ||
+  return IsNamed(one, names.time_limit) || IsNamed(one, names.client_account) ||
+         IsNamed(one, names.expected_server) || IsNamed(one, names.not_run) ||
+         IsNamed(one, names.load) ||
          SameName(one.name_string(), "Mangodoor-Error") ||
-         SameName(one.name_string(), "Mangodoor-Outcome") ||
-         SameName(one.name_string(), "X-Not-Run") ||
-         SameName(one.name_string(), "endpoint-load-metrics");
+         SameName(one.name_string(), "Mangodoor-Outcome");
 }
 
-bool IsPassedOn(const Fields::value_type& one, beast::string_view connection) {
-  if (IsHopByHop(one.name()) || IsKey(one) || IsOwnField(one))
+bool IsPassedOn(const Fields::value_type& one,
+                beast::string_view connection,
+                const CallNames& names) {
+  if (IsHopByHop(one.name()) || IsKey(one, names) || IsOwnField(one, names))
     return false;
   return one.name() == field::host ||
          !IsNamedInConnection(connection, one.name_string());
@@ -92,7 +95,9 @@
   Append(out, "\r\n");
 }
 
-void AppendFields(std::string& out, const Fields& fields) {
+void AppendFields(std::string& out,
+                  const Fields& fields,
+                  const CallNames& names) {
   // Connection may be given more than once; its values form one list.
   const size_t connection_count = fields.count(field::connection);
   std::string joined;
@@ -108,7 +113,7 @@
       beast::iequals(connection, "close"))
     connection = {};
   for (const auto& one : fields) {
-    if (IsPassedOn(one, connection))
+    if (IsPassedOn(one, connection, names))
       AppendField(out, one);
   }
 }
@@ -127,6 +132,28 @@
   return "Forwarded: for=" + caller_address + ";proto=http\r\n";
 }
 
+/** Seconds with a fraction; a second if nothing better is known. */
+std::string RetryAfterField(const std::optional<Duration>& retry_after) {
+  const Duration wait = retry_after.value_or(std::chrono::seconds(1));
+  std::array<char, 48> field{};
+  const int size =
+      std::snprintf(field.data(), field.size(), "Retry-After: %.6g\r\n",
+                    std::chrono::duration<double>(wait).count());
+  return {field.data(), static_cast<size_t>(size)};
+}
+
+int StatusOf(const ErrorPlan& plan, const CallNames& names) {
+  const ErrorAnswer& answer = AnswerFor(plan.error);
+  if (plan.error == ErrorKind::kKeyUnknown)
+    return names.key_unknown_status;
+  const bool refusal = answer.caller_may_retry &&
+                       plan.outcome == Outcome::kNotRun &&
+                       plan.error != ErrorKind::kRateExceeded &&
+                       plan.error != ErrorKind::kRequestTimeout;
+  return refusal && names.refusal_status != 0 ? names.refusal_status
+                                              : answer.http_status;
+}
+
 bool IsDigit(char c) {
   return c >= '0' && c <= '9';
 }
@@ -158,7 +185,8 @@
 
 }  // namespace
 
-std::optional<ErrorKind> CheckRequestHeader(const RequestHeader& header) {
+std::optional<ErrorKind> CheckRequestHeader(const RequestHeader& header,
+                                            const CallNames& names) {
   if (auto error = CheckFraming(header))
     return error;
   if (auto error = CheckTarget(header))
@@ -167,24 +195,28 @@
   if (hosts > 1 || (hosts == 0 && header.version() != kVersion10))
     return ErrorKind::kMalformedRequest;
   // Two keys could stand for two client accounts.
-  if (header.count(field::authorization) + header.count("X-Api-Key") > 1)
+  const size_t other_keys =
+      names.key_field.empty() ? 0 : header.count(names.key_field);
+  if (header.count(field::authorization) + other_keys > 1)
     return ErrorKind::kMalformedRequest;
-  const size_t time_limits = header.count(BeastView(kTimeoutField));
+  const size_t time_limits = header.count(names.time_limit);
   if (time_limits > 1 ||
-      (time_limits == 1 &&
-       !ParseMilliseconds(View(header[BeastView(kTimeoutField)]))))
+      (time_limits == 1 && !ParseMilliseconds(View(header[names.time_limit]))))
     return ErrorKind::kMalformedRequest;
   if (header.count(field::expect) > 0 && !ExpectsContinue(header))
     return ErrorKind::kUnsupportedRequest;
   return std::nullopt;
 }
 
-std::string_view PresentedKey(const RequestHeader& header) {
+std::string_view PresentedKey(const RequestHeader& header,
+                              const CallNames& names) {
+  const std::string& scheme = names.key_scheme;
   const auto authorization = header[field::authorization];
-  if (authorization.size() > kBearer.size() &&
-      SameName(authorization.substr(0, kBearer.size()), kBearer))
-    return View(authorization.substr(kBearer.size()));
-  return View(header["X-Api-Key"]);
+  if (authorization.size() > scheme.size() &&
+      SameName(authorization.substr(0, scheme.size()), scheme))
+    return View(authorization.substr(scheme.size()));
+  return names.key_field.empty() ? std::string_view()
+                                 : View(header[names.key_field]);
 }
 
 bool ExpectsContinue(const RequestHeader& header) {
@@ -193,25 +225,29 @@
 
 std::string ForwardedRequestHead(const RequestHeader& header,
                                  const Framing& framing,
-                                 const std::string& caller_address) {
+                                 const std::string& caller_address,
+                                 const CallNames& names) {
   std::string out;
   out.reserve(1024);
   Append(out, View(header.method_string()));
   out += ' ';
   Append(out, View(header.target()));
   Append(out, " HTTP/1.1\r\n");
-  AppendFields(out, header);
+  AppendFields(out, header, names);
   if (header.count(field::host) == 0)
     Append(out, "Host: \r\n");
   AppendFraming(out, framing);
-  out += ForwardedField(caller_address);
-  Append(out, kViaField);
+  if (names.adds_trace_fields) {
+    out += ForwardedField(caller_address);
+    Append(out, kViaField);
+  }
   return out;
 }
 
 std::string ForwardedResponseHead(const ResponseHeader& header,
                                   const Framing& framing,
-                                  bool close) {
+                                  bool close,
+                                  const CallNames& names) {
   std::string out;
   out.reserve(1024);
   Append(out, "HTTP/1.1 ");
@@ -219,17 +255,18 @@
   out += ' ';
   Append(out, View(header.reason()));
   Append(out, "\r\n");
-  AppendFields(out, header);
+  AppendFields(out, header, names);
   AppendFraming(out, framing);
-  Append(out, kViaField);
+  if (names.adds_trace_fields)
+    Append(out, kViaField);
   Append(out, close ? "Connection: close\r\n\r\n" : "\r\n");
   return out;
 }
 
-std::string ForwardedTrailers(const Fields& trailers) {
+std::string ForwardedTrailers(const Fields& trailers, const CallNames& names) {
   std::string out;
   for (const auto& one : trailers) {
-    if (IsPassedOn(one, {}) && one.name() != field::host)
+    if (IsPassedOn(one, {}, names) && one.name() != field::host)
       AppendField(out, one);
   }
   return out + "\r\n";
@@ -251,7 +288,10 @@
   return out;
 }
 
-std::string ErrorResponse(const ErrorPlan& plan, bool close, bool head_only) {
+std::string ErrorResponse(const ErrorPlan& plan,
+                          bool close,
+                          bool head_only,
+                          const CallNames& names) {
   const ErrorAnswer& answer = AnswerFor(plan.error);
   std::string fields = "Content-Type: text/plain\r\nMangodoor-Error: ";
   fields += answer.name;
@@ -260,8 +300,8 @@
   fields += "\r\n";
   // A caller must not repeat what may have run.
   if (answer.caller_may_retry && plan.outcome == Outcome::kNotRun)
-    fields += "Retry-After: 1\r\n";
-  return OwnResponse(answer.http_status, fields,
+    fields += RetryAfterField(plan.retry_after);
+  return OwnResponse(StatusOf(plan, names), fields,
                      std::string(answer.name) + "\n", close, head_only);
 }
 
--- a/src/request/io/message_head.h
+++ b/src/request/io/message_head.h
@@ -8,6 +8,7 @@
 
 #include "process/error_kind.h"
 #include "request/attempt.h"
+#include "request/call_names.h"
 
 namespace mangodoor {
 
@@ -23,10 +24,12 @@
 };
 
 /** Refuses a header that servers could read in different ways. */
-std::optional<ErrorKind> CheckRequestHeader(const RequestHeader& header);
+std::optional<ErrorKind> CheckRequestHeader(const RequestHeader& header,
+                                            const CallNames& names);
 
 /** The key of a request; empty if it presents none. */
-std::string_view PresentedKey(const RequestHeader& header);
+std::string_view PresentedKey(const RequestHeader& header,
+                              const CallNames& names);
 
 bool ExpectsContinue(const RequestHeader& header);
 
@@ -36,15 +39,17 @@
  */
 std::string ForwardedRequestHead(const RequestHeader& header,
                                  const Framing& framing,
-                                 const std::string& caller_address);
+                                 const std::string& caller_address,
+                                 const CallNames& names);
 
 /** The head to send to the caller, with its empty line. */
 std::string ForwardedResponseHead(const ResponseHeader& header,
                                   const Framing& framing,
-                                  bool close);
+                                  bool close,
+                                  const CallNames& names);
 
 /** Trailer fields that may be passed on, with the empty line. */
-std::string ForwardedTrailers(const Fields& trailers);
+std::string ForwardedTrailers(const Fields& trailers, const CallNames& names);
 
 /** A whole response made by this instance; no body for HEAD. */
 std::string OwnResponse(int status,
@@ -53,7 +58,10 @@
                         bool close,
                         bool head_only);
 
-std::string ErrorResponse(const ErrorPlan& plan, bool close, bool head_only);
+std::string ErrorResponse(const ErrorPlan& plan,
+                          bool close,
+                          bool head_only,
+                          const CallNames& names);
 
 }  // namespace mangodoor
 
--- a/src/request/io/outgoing_request.h
+++ b/src/request/io/outgoing_request.h
@@ -15,6 +15,8 @@
   /** The version that allowed the request. */
   VersionPtr version;
   Authorisation authorisation;
+  /** The service of the route, or the part of it that was picked. */
+  ServiceId service;
   std::string host;
   std::string path;
   std::string key_digest;
--- a/src/request/io/request_run.cc
+++ b/src/request/io/request_run.cc
@@ -60,7 +60,7 @@
 
 bool RequestRun::RunChecked(YieldContext yield) {
   ++context_.tables.counters.requests;
-  if (auto error = CheckRequestHeader(header_)) {
+  if (auto error = CheckRequestHeader(header_, context_.names)) {
     // Where the next request begins cannot be trusted any more.
     must_close_ = true;
     may_drain_ = false;
@@ -71,8 +71,11 @@
   if (auto error = Prepare())
     return Fail(PlanError(*error, history_), yield);
   race_.WatchDeadline([this] { Interrupt(AttemptReport::End::kDeadline); });
-  if (auto error = Admit(yield))
-    return Fail(PlanError(*error, history_), yield);
+  if (auto error = Admit(yield)) {
+    ErrorPlan plan = PlanError(*error, history_);
+    plan.retry_after = retry_after_;
+    return Fail(plan, yield);
+  }
   if (auto error = ReadBody(yield))
     return Fail(PlanError(*error, history_), yield);
   return RunAttempts(yield);
@@ -110,7 +113,7 @@
 // Hashing a key costs about as much as parsing the rest of the header, and
 // most connections present the same key with each request.
 const std::string& RequestRun::KeyDigest() {
-  const std::string_view key = PresentedKey(header_);
+  const std::string_view key = PresentedKey(header_, context_.names);
   if (key != caller_.key || caller_.key_digest.empty()) {
     caller_.key = std::string(key);
     caller_.key_digest = key.empty() ? "" : Sha256Hex(key);
@@ -132,10 +135,12 @@
   const Route& route = *request_.authorisation.route;
   if (!route.open && !MayServeKeyed(context_.tables.versions, Now()))
     return ErrorKind::kConfigurationStale;
-  const auto asked = header_["X-Request-Timeout-Ms"];
+  const auto asked = header_[context_.names.time_limit];
   request_.deadline = DeadlineFor(
       route, asked.empty() ? std::nullopt : ParseMilliseconds(View(asked)),
       Now());
+  request_.service = PickService(route, context_.random());
+  request_.traits.max_attempts = route.max_attempts;
   request_.traits.idempotent =
       IsIdempotent(View(header_.method_string()), route);
   request_.is_head = header_.method() == http::verb::head;
@@ -147,6 +152,8 @@
   if (!account)
     return std::nullopt;
   const TimePoint now = Now();
+  if (request_.version->document.limit_policy == LimitPolicy::kSharedUsage)
+    return AdmitByUsage(account->id, now);
   // A token that comes too late is lost; it cannot be given back.
   auto delivery = std::make_shared<Delivery<std::optional<ErrorKind>>>(
       stream_.executor(), nullptr);
@@ -168,6 +175,18 @@
   return ErrorKind::kDeadlineExceeded;
 }
 
+std::optional<ErrorKind> RequestRun::AdmitByUsage(
+    const ClientAccountId& account,
+    TimePoint now) {
+  UsageTable& usage = context_.tables.usage;
+  OrderedLock lock(usage.mutex);
+  const UsageDecision decision = AdmitUsage(usage.book, account, now);
+  if (decision.admitted)
+    return std::nullopt;
+  retry_after_ = decision.retry_after;
+  return ErrorKind::kRateExceeded;
+}
+
 std::optional<ErrorKind> RequestRun::ReadBody(YieldContext yield) {
   may_drain_ = false;
   if (ExpectsContinue(header_) && !upload_.whole() &&
@@ -186,7 +205,8 @@
   request_.body_whole = upload_.whole();
   const Framing framing = upload_.framing();
   request_.traits.has_body = framing.kind != Framing::Kind::kNone;
-  request_.head = ForwardedRequestHead(header_, framing, caller_.address);
+  request_.head =
+      ForwardedRequestHead(header_, framing, caller_.address, context_.names);
   return std::nullopt;
 }
 
@@ -209,7 +229,8 @@
     const Duration remaining = request_.deadline - Now();
     AttemptDecision decision =
         DecideAfterAttempt(request_.traits, history_, report, remaining, true);
-    if (decision.spends_budget && !TakeRepeat(context_.attempts, Now()))
+    if (decision.spends_budget &&
+        !TakeRepeat(context_.attempts, request_.service, Now()))
       decision = DecideAfterAttempt(request_.traits, history_, report,
                                     remaining, false);
     if (decision.step == AttemptDecision::Step::kForward)
@@ -218,7 +239,7 @@
     if (decision.step == AttemptDecision::Step::kCloseCaller)
       return CloseCaller();
     if (decision.step == AttemptDecision::Step::kError)
-      return Fail({decision.error, decision.outcome}, yield);
+      return Fail({decision.error, decision.outcome, std::nullopt}, yield);
     ++context_.tables.counters.retries;
   }
 }
@@ -280,7 +301,8 @@
   const bool read = upload_.whole() || (drain && !upload_.Buffer(yield));
   const bool close = Closing() || !read || !upload_.whole();
   const bool head_only = header_.method() == http::verb::head;
-  return Answer(ErrorResponse(plan, close, head_only), yield) && !close;
+  return Answer(ErrorResponse(plan, close, head_only, context_.names), yield) &&
+         !close;
 }
 
 bool RequestRun::Answer(const std::string& response, YieldContext yield) {
--- a/src/request/io/request_run.h
+++ b/src/request/io/request_run.h
@@ -49,6 +49,8 @@
   bool ServeAddresses(YieldContext yield);
   std::optional<ErrorKind> Prepare();
   std::optional<ErrorKind> Admit(YieldContext yield);
+  std::optional<ErrorKind> AdmitByUsage(const ClientAccountId& account,
+                                        TimePoint now);
   std::optional<ErrorKind> ReadBody(YieldContext yield);
   bool RunAttempts(YieldContext yield);
   bool Forward(YieldContext yield);
@@ -74,6 +76,8 @@
   /** The rest of the body may be read so that the connection can go on. */
   bool may_drain_ = true;
   bool must_close_ = false;
+  /** Set with an error: when the caller does best to come again. */
+  std::optional<Duration> retry_after_;
   /** Set once the request must end early. */
   std::optional<AttemptReport::End> interrupted_;
   /** Wakes the wait for admission or for the body. */
--- a/src/request/io/response_relay.cc
+++ b/src/request/io/response_relay.cc
@@ -42,12 +42,13 @@
 
 void AppendEnd(std::string& out,
                ResponseParser& parser,
-               const Framing& framing) {
+               const Framing& framing,
+               const CallNames& names) {
   if (framing.kind != Framing::Kind::kChunked)
     return;
   out += "0\r\n";
   // Only trailers are left in the message: the header was moved out of it.
-  out += ForwardedTrailers(parser.get());
+  out += ForwardedTrailers(parser.get(), names);
 }
 
 }  // namespace
@@ -81,8 +82,8 @@
   ResponseParser& parser = attempt.parser();
   const Framing framing = ResponseFraming(parser, attempt.header(), options);
   Watchdog& watch = caller.run_watch();
-  std::string out =
-      ForwardedResponseHead(attempt.header(), framing, options.close);
+  std::string out = ForwardedResponseHead(attempt.header(), framing,
+                                          options.close, context.names);
   std::string piece;
   for (;;) {
     piece.clear();
@@ -91,7 +92,7 @@
     AppendPiece(out, piece, framing);
     if (parser.is_done()) {
       if (!options.head_only)
-        AppendEnd(out, parser, framing);
+        AppendEnd(out, parser, framing, context.names);
       break;
     }
     // The head waits for the first part of the body only if that is here.
--- a/src/request/load_metrics.h
+++ b/src/request/load_metrics.h
@@ -4,12 +4,15 @@
 #include <optional>
 #include <string_view>
 
+#include "process/servers/reported_load.h"
+
 namespace mangodoor {
 
 /** What a backend server says of its load on a response. */
 struct LoadMetrics {
   std::optional<int> in_flight;
   std::optional<bool> cold;
+  std::optional<LoadStatement> statement;
 };
 
 /**
--- a/src/version/version.cc
+++ b/src/version/version.cc
@@ -1,6 +1,7 @@
 #include "version/version.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace mangodoor {
@@ -93,4 +94,21 @@
   return route || name.empty() ? route : FindAmong(version, "", path);
 }
 
+std::vector<ServiceId> ServicesOf(const Version& version,
+                                  std::string_view host) {
+  std::set<ServiceId> services;
+  const auto routes = version.routes_by_host.find(HostName(host));
+  if (routes == version.routes_by_host.end())
+    return {};
+  for (const Route* route : routes->second) {
+    if (route->split.empty())
+      services.insert(route->service);
+    for (const RoutePart& part : route->split) {
+      if (part.weight > 0)
+        services.insert(part.service);
+    }
+  }
+  return {services.begin(), services.end()};
+}
+
 }  // namespace mangodoor
--- a/src/version/version.h
+++ b/src/version/version.h
@@ -45,6 +45,10 @@
                        std::string_view host,
                        std::string_view path);
 
+/** Services that requests to the host may run at, each once. */
+std::vector<ServiceId> ServicesOf(const Version& version,
+                                  std::string_view host);
+
 }  // namespace mangodoor
 
 #endif  // VERSION_VERSION_H_
--- /dev/null
+++ b/tests/limits/usage_sim.cc
@@ -0,0 +1,155 @@
+#include "limits/usage_sim.h"
+
+#include <algorithm>
+#include <string>
+
+namespace mangodoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kTick = milliseconds(10);
+constexpr Duration kBeat = milliseconds(1000);
+
+const ClientAccountId shop_account("shop");
+
+InstanceId IdOf(size_t index) {
+  return InstanceId("i" + std::to_string(index));
+}
+
+DataCentreId CentreOf(int data_centre) {
+  return DataCentreId("d" + std::to_string(data_centre));
+}
+
+}  // namespace
+
+UsageSim::UsageSim(int data_centres,
+                   int instances_each,
+                   double rate_per_s,
+                   double burst) {
+  for (int d = 0; d < data_centres; ++d) {
+    for (int i = 0; i < instances_each; ++i) {
+      Instance instance;
+      instance.data_centre = d;
+      instances_.push_back(instance);
+    }
+  }
+  SetRate(rate_per_s, burst);
+}
+
+void UsageSim::SetRate(double rate_per_s, double burst) {
+  Document document;
+  document.client_accounts = {
+      {shop_account, rate_per_s, static_cast<int64_t>(burst), 1}};
+  version_ = MakeVersion(document, "", "");
+  for (Instance& instance : instances_)
+    Adopt(instance);
+}
+
+void UsageSim::Adopt(Instance& instance) {
+  instance.book.tolerance = {std::chrono::seconds(5), 0.25, 20};
+  NoteInstances(instance.book, size(), now_);
+  AdoptAccounts(instance.book, *version_, now_);
+}
+
+void UsageSim::SetDemand(int instance, double per_s) {
+  instances_.at(static_cast<size_t>(instance)).demand_per_s = per_s;
+}
+
+void UsageSim::SetDemandEverywhere(double per_s) {
+  for (Instance& instance : instances_)
+    instance.demand_per_s = per_s;
+}
+
+void UsageSim::SetCut(int instance, bool cut) {
+  instances_.at(static_cast<size_t>(instance)).cut = cut;
+}
+
+void UsageSim::Restart(int instance) {
+  Instance& one = instances_.at(static_cast<size_t>(instance));
+  one.book = UsageBook();
+  Adopt(one);
+}
+
+void UsageSim::Ask(Instance& instance) {
+  const double expected =
+      instance.demand_per_s * std::chrono::duration<double>(kTick).count();
+  const int count = std::poisson_distribution<int>(expected)(random_);
+  for (int i = 0; i < count; ++i) {
+    ++asked_;
+    if (AdmitUsage(instance.book, shop_account, now_).admitted)
+      admitted_.push_back(now_);
+    else
+      ++refused_;
+  }
+}
+
+// As the fleet does: to the first of the data centre, between the first ones,
+// and from the first to the others.
+void UsageSim::ExchangeBeats() {
+  struct Sent {
+    size_t from;
+    MemberBeat beat;
+  };
+  for (const UsageScope scope :
+       {UsageScope::kInstance, UsageScope::kDataCentre, UsageScope::kFleet}) {
+    std::vector<Sent> sent;
+    std::vector<bool> lead_seen(instances_.size());
+    for (size_t i = 0; i < instances_.size(); ++i) {
+      const auto centre = static_cast<size_t>(instances_[i].data_centre);
+      const bool leads = !lead_seen[centre] && !instances_[i].cut;
+      lead_seen[centre] = lead_seen[centre] || leads;
+      if (instances_[i].cut || (scope != UsageScope::kInstance && !leads))
+        continue;
+      MemberBeat beat;
+      beat.scope = scope;
+      StateUsage(instances_[i].book, beat, now_);
+      sent.push_back({i, beat});
+    }
+    for (const Sent& one : sent) {
+      for (size_t to = 0; to < instances_.size(); ++to) {
+        const int from_centre = instances_[one.from].data_centre;
+        const bool near = from_centre == instances_[to].data_centre;
+        if (to == one.from || instances_[to].cut ||
+            near == (scope == UsageScope::kDataCentre))
+          continue;
+        HearUsage(instances_[to].book, IdOf(one.from), CentreOf(from_centre),
+                  near, one.beat, now_);
+      }
+    }
+  }
+}
+
+void UsageSim::RunFor(Duration duration) {
+  const TimePoint end = now_ + duration;
+  while (now_ < end) {
+    now_ += kTick;
+    for (Instance& instance : instances_) {
+      NoteInstances(instance.book, instance.cut ? 1 : size(), now_);
+      Ask(instance);
+    }
+    if (now_ >= next_beat_) {
+      ExchangeBeats();
+      next_beat_ = now_ + kBeat;
+    }
+  }
+}
+
+size_t UsageSim::MostAdmitted(Duration window) const {
+  size_t most = 0;
+  auto first = admitted_.begin();
+  for (auto last = admitted_.begin(); last != admitted_.end(); ++last) {
+    while (*last - *first >= window)
+      ++first;
+    most = std::max(most, static_cast<size_t>(last - first) + 1);
+  }
+  return most;
+}
+
+void UsageSim::ForgetCounts() {
+  admitted_.clear();
+  asked_ = 0;
+  refused_ = 0;
+}
+
+}  // namespace mangodoor
--- /dev/null
+++ b/tests/limits/usage_sim.h
@@ -0,0 +1,60 @@
+#ifndef TESTS_LIMITS_USAGE_SIM_H_
+#define TESTS_LIMITS_USAGE_SIM_H_
+
+#include <deque>
+#include <random>
+#include <vector>
+
+#include "process/accounts/usage_book.h"
+
+namespace mangodoor {
+
+/** Instances of several data centres that share the rate of one account. */
+class UsageSim {
+ public:
+  UsageSim(int data_centres,
+           int instances_each,
+           double rate_per_s,
+           double burst);
+
+  void SetRate(double rate_per_s, double burst);
+  /** Requests a second that come to an instance from now on. */
+  void SetDemand(int instance, double per_s);
+  void SetDemandEverywhere(double per_s);
+  /** An instance that hears nobody and is not heard. */
+  void SetCut(int instance, bool cut);
+  void Restart(int instance);
+  void RunFor(Duration duration);
+
+  int size() const { return static_cast<int>(instances_.size()); }
+  /** The most requests admitted within the window, at any time. */
+  size_t MostAdmitted(Duration window) const;
+  int asked() const { return asked_; }
+  int refused() const { return refused_; }
+  void ForgetCounts();
+
+ private:
+  struct Instance {
+    UsageBook book;
+    int data_centre = 0;
+    double demand_per_s = 0;
+    bool cut = false;
+  };
+
+  void Adopt(Instance& instance);
+  void Ask(Instance& instance);
+  void ExchangeBeats();
+
+  std::vector<Instance> instances_;
+  VersionPtr version_;
+  std::deque<TimePoint> admitted_;
+  int asked_ = 0;
+  int refused_ = 0;
+  std::mt19937_64 random_{1};
+  TimePoint now_{std::chrono::hours(1)};
+  TimePoint next_beat_{};
+};
+
+}  // namespace mangodoor
+
+#endif  // TESTS_LIMITS_USAGE_SIM_H_
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,242 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "entry_pages.h"
+#include "item_codec.h"
+#include "load_field.h"
+#include "names.h"
+#include "store_client.h"
+
+namespace mangodoor::platform {
+namespace {
+
+using ::testing::HasSubstr;
+
+constexpr char kServerEntry[] = R"({"Address":"10.128.0.9:8080",
+  "Details":{"Service":"huvo11a","Version":"v1","Zone":"muscat-a","Slots":3},
+  "Status":{"State":"ready","Sequence":4,"ColdRemainingMs":1500},
+  "born":1776048571020})";
+
+constexpr char kConfiguration[] = R"({"Version":"0000001c",
+  "BaseVersion":"00000005","Resources":[
+  {"ResourceKind":"Routes","Metadata":{"Name":"r1"},"Spec":{
+    "Host":"hulo84.example","Prefix":"/leny950/","Kind":"safe",
+    "TimeoutMs":800,"TargetLatencyMs":200,"Priority":2,"TrafficSplit":[
+      {"Service":"a","Weight":90},{"Service":"b","Weight":10}],
+    "MaxAttempts":2,"Public":false}},
+  {"ResourceKind":"Routes","Metadata":{"Name":"r2"},"Spec":{
+    "Host":"jepu9.example","Prefix":"/puka111/","Kind":"unsafe",
+    "TimeoutMs":1000,"TargetLatencyMs":250,"Priority":1,"Service":"a",
+    "MaxAttempts":3,"Public":true}},
+  {"ResourceKind":"Services","Metadata":{"Name":"a"},"Spec":{
+    "HealthPath":"/health","MaxConns":220,"Protocol":"h1","Tls":false,
+    "ColdStartS":3.0,"ColdPerS":12.0}},
+  {"ResourceKind":"Services","Metadata":{"Name":"b"},"Spec":{}},
+  {"ResourceKind":"Tenants","Metadata":{"Name":"cuka620"},"Spec":{
+    "ApiKeys":["k1","k2"],"Priority":1,"RatePerS":77,"Burst":77}},
+  {"ResourceKind":"Tenants","Metadata":{"Name":"free"},"Spec":{"ApiKeys":[]}},
+  {"ResourceKind":"Other","Metadata":{},"Spec":{}},
+  {"ResourceKind":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":16384,
+    "MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}]})";
+
+StoreItem Item(const std::string& key, const std::string& value) {
+  StoreItem item;
+  item.key = key;
+  item.value = value;
+  item.revision = 1;
+  return item;
+}
+
+RegistryFact Decode(const StoreItem& item) {
+  return DecodeItem(item, WallTime());
+}
+
+// Guards against a field of a server's entry that is read from another place.
+TEST(ServerCodecTest, ReadsAnEntry) {
+  const auto fact = Decode(Item("servers/i-7f", kServerEntry));
+  const auto& record = std::get<ServerRecord>(fact);
+  EXPECT_EQ(record.id.value(), "i-7f");
+  EXPECT_EQ(record.service.value(), "huvo11a");
+  EXPECT_EQ(record.data_centre.value(), "muscat-a");
+  EXPECT_EQ(ToString(record.endpoint), "10.128.0.9:8080");
+  EXPECT_EQ(record.slots, 3);
+  EXPECT_FALSE(record.draining);
+  EXPECT_EQ(record.cold_remaining, std::chrono::milliseconds(1500));
+  EXPECT_EQ(record.lifetime, 1776048571020);
+}
+
+// Guards against entries of other writers that are used, or that end the
+// process. Each case is one field of a good entry replaced.
+TEST(ServerCodecTest, EntriesThatNameNoServer) {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {R"("10.128.0.9:8080")", R"("host:80")"},
+      {R"("10.128.0.9:8080")", "7"},
+      {R"("Address")", R"("Adress")"},
+      {R"("huvo11a")", R"("")"},
+      {R"("Slots":3)", R"("Slots":0)"},
+      {R"("Slots":3)", R"("Slots":2.5)"},
+      {R"("Slots":3)", R"("Slots":"3")"},
+      {R"("ready")", R"("sleeping")"},
+      {R"("Status":{"State":"ready","Sequence":4,"ColdRemainingMs":1500})",
+       R"("Status":[])"},
+      {R"("born":1776048571020)", R"("born":"x")"},
+      {kServerEntry, "{"},
+      {kServerEntry, "\xff\x00"},
+      {kServerEntry, ""},
+  };
+  for (const auto& [from, to] : cases) {
+    SCOPED_TRACE(to);
+    std::string entry = kServerEntry;
+    const size_t at = entry.find(from);
+    ASSERT_NE(at, std::string::npos);
+    entry.replace(at, from.size(), to);
+    const auto fact = Decode(Item("servers/i-7f", entry));
+    const auto* gone = std::get_if<ServerGone>(&fact);
+    ASSERT_TRUE(gone);
+    EXPECT_EQ(gone->id.value(), "i-7f");
+    EXPECT_FALSE(gone->faults.empty());
+  }
+}
+
+// Guards against a deletion that is taken for a broken entry.
+TEST(ItemCodecTest, Deletions) {
+  StoreItem item = Item("servers/i-7f", "");
+  item.deleted = true;
+  const auto server = Decode(item);
+  EXPECT_TRUE(std::get<ServerGone>(server).faults.empty());
+  item.key = "op/evacuate/muscat-a";
+  const auto order = Decode(item);
+  EXPECT_FALSE(std::get<DataCentreOrder>(order).out);
+  EXPECT_TRUE(std::get<DataCentreOrder>(Decode(Item(item.key, "{}"))).out);
+  item.key = "op/config";
+  EXPECT_TRUE(std::holds_alternative<OtherItem>(Decode(item)));
+  EXPECT_TRUE(
+      std::holds_alternative<OtherItem>(Decode(Item("my/leader", "x"))));
+}
+
+// Guards against a field of the configuration that means something else.
+TEST(DocumentCodecTest, ReadsAConfiguration) {
+  const auto fact = Decode(Item("op/config", kConfiguration));
+  const Document& document = std::get<VersionPtr>(fact)->document;
+  EXPECT_EQ(document.version, 0x1cU);
+  EXPECT_EQ(document.limit_policy, LimitPolicy::kSharedUsage);
+  ASSERT_EQ(document.routes.size(), 2U);
+  const Route& split = document.routes[0];
+  EXPECT_EQ(split.host, "hulo84.example");
+  EXPECT_EQ(split.path_prefix, "/leny950/");
+  EXPECT_EQ(split.repeats, RepeatRule::kAlways);
+  EXPECT_EQ(split.timeout, std::chrono::milliseconds(800));
+  EXPECT_EQ(split.target_latency, std::chrono::milliseconds(200));
+  EXPECT_EQ(split.priority, 2);
+  EXPECT_EQ(split.max_attempts, 2);
+  EXPECT_FALSE(split.open);
+  ASSERT_EQ(split.split.size(), 2U);
+  EXPECT_EQ(split.split[1].service.value(), "b");
+  EXPECT_EQ(split.split[1].weight, 10);
+  EXPECT_EQ(document.routes[1].repeats, RepeatRule::kNever);
+  EXPECT_TRUE(document.routes[1].open);
+  EXPECT_TRUE(document.services[0].discovered);
+  EXPECT_EQ(document.services[0].connection_limit, 220);
+  EXPECT_EQ(document.services[0].cold_time, std::chrono::seconds(3));
+  EXPECT_EQ(document.services[0].cold_rate_per_s, 12);
+  EXPECT_EQ(document.client_accounts[0].rate_per_s, 77);
+  EXPECT_EQ(document.client_accounts[0].burst, 77);
+  EXPECT_EQ(document.client_accounts[0].priority, 1);
+  EXPECT_FALSE(document.client_accounts[1].limited);
+  EXPECT_EQ(document.keys.size(), 2U);
+  EXPECT_EQ(document.limits.idle_time, std::chrono::seconds(15));
+}
+
+// Guards against a configuration with a fault that comes into force, and
+// against a message that does not tell where the fault is.
+TEST(DocumentCodecTest, FaultyConfigurationsAreRejected) {
+  const std::vector<std::array<std::string, 3>> cases = {
+      {R"("0000001c")", R"("xyz")", "/Version: \"\"xyz\"\""},
+      {R"("Weight":90)", R"("Weight":"much")", "TrafficSplit/0/Weight"},
+      {"\"Service\":\"a\",\n", "", "service"},
+      {R"("TimeoutMs":800)", R"("TimeoutMs":0)", "timeout_ms: 0"},
+      {R"("MaxAttempts":2)", R"("MaxAttempts":0)", "max_attempts: 0"},
+      {R"("Resources":[)", R"("Things":[)", "/Resources: absent"},
+      {R"("ApiKeys":["k1","k2"])", R"("ApiKeys":["k1","k1"])", "digest"},
+  };
+  for (const auto& [from, to, fault] : cases) {
+    SCOPED_TRACE(to);
+    std::string text = kConfiguration;
+    text.replace(text.find(from), from.size(), to);
+    const auto fact = Decode(Item("op/config", text));
+    const auto* bad = std::get_if<BadDocument>(&fact);
+    ASSERT_TRUE(bad);
+    EXPECT_THAT(ToString(bad->faults), HasSubstr(fault));
+    EXPECT_THAT(ToString(bad->faults), ::testing::Not(HasSubstr("k1")));
+  }
+  EXPECT_TRUE(std::holds_alternative<BadDocument>(
+      Decode(Item("op/config", "{\"Version\":"))));
+}
+
+// Guards against keys that are asked for where the operator has none.
+TEST(DocumentCodecTest, WithoutTenantsAllRoutesAreOpen) {
+  const auto fact = Decode(Item("op/config", R"({"Version":"01","Resources":[
+    {"ResourceKind":"Routes","Metadata":{"Name":"r"},"Spec":{"Host":"h.example",
+     "Prefix":"/a/","Kind":"safe","TimeoutMs":800,"Service":"s",
+     "MaxAttempts":2}},
+    {"ResourceKind":"Services","Metadata":{"Name":"s"},"Spec":{}}]})"));
+  EXPECT_TRUE(std::get<VersionPtr>(fact)->document.routes[0].open);
+}
+
+// Guards against a load that is misread, or guessed from a broken field.
+TEST(LoadFieldTest, ReadsFigures) {
+  const auto load = ParseServerLoad("3,2,8,500").statement;
+  ASSERT_TRUE(load);
+  EXPECT_EQ(load->running, 3);
+  EXPECT_EQ(load->waiting, 2);
+  EXPECT_EQ(load->slots, 8);
+  EXPECT_DOUBLE_EQ(load->slowness, 5);
+  EXPECT_DOUBLE_EQ(ParseServerLoad("3, 0, 8").statement->slowness, 1);
+  for (const char* bad : {"", "3", "3,2", "a,b,c", "-1,0,3", "3,0,"})
+    EXPECT_FALSE(ParseServerLoad(bad).statement) << bad;
+}
+
+// Guards against an answer of the directory that clients count as a failure.
+TEST(EntryPagesTest, LookupNamesAddresses) {
+  AddressQuery asked;
+  const auto ask = [&asked](const AddressQuery& query) {
+    asked = query;
+    return AddressAnswer{{{"10.1.0.24", 8045}}, std::chrono::seconds(4)};
+  };
+  const Page page = LookupPage(
+      {"/lookup?Name=hulo84.example&Region=r&Zone=z", "1.2.3.4"}, ask);
+  EXPECT_EQ(page.http_status, 200);
+  EXPECT_STREQ(page.content_type, "application/json");
+  EXPECT_EQ(page.body, R"({"Addresses":["10.1.0.24:8045"],"TtlS":4.0})");
+  EXPECT_EQ(asked.host, "hulo84.example");
+  EXPECT_EQ(asked.caller, "1.2.3.4");
+  LookupPage({"/lookup?Region=r&Name=last", "1.2.3.4"}, ask);
+  EXPECT_EQ(asked.host, "last");
+  EXPECT_EQ(LookupPage({"/else", "1.2.3.4"}, ask).http_status, 404);
+  EXPECT_EQ(ReadinessPage({"/readiness", ""}, true).http_status, 200);
+  EXPECT_EQ(ReadinessPage({"/readiness", ""}, false).http_status, 503);
+}
+
+// Guards against answers of the store that are misread as empty.
+TEST(StoreAnswerTest, TellsAnswersApart) {
+  const StoreAnswer events = DecodeStoreAnswer(200, R"({"events":[
+    {"Key":"a","Value":"bm9kZS0x","Revision":412,"Created":4,"LeaseId":7},
+    {"Key":"b","Revision":413,"Deleted":true},{"Key":3}],"CurrentRev":413})");
+  EXPECT_EQ(events.kind, StoreAnswer::Kind::kItems);
+  EXPECT_EQ(events.revision, 413U);
+  ASSERT_EQ(events.items.size(), 2U);
+  EXPECT_EQ(events.items[0].value, "node-1");
+  EXPECT_TRUE(events.items[1].deleted);
+  const StoreAnswer page =
+      DecodeStoreAnswer(200, R"({"items":[],"HasMore":true,"CurrentRev":7})");
+  EXPECT_TRUE(page.more);
+  EXPECT_EQ(DecodeStoreAnswer(410, "").kind, StoreAnswer::Kind::kHistoryGone);
+  EXPECT_EQ(DecodeStoreAnswer(429, "").kind, StoreAnswer::Kind::kRefused);
+  EXPECT_EQ(DecodeStoreAnswer(503, "").kind, StoreAnswer::Kind::kRefused);
+  for (const char* bad : {"", "[]", "{", R"({"items":[]})"})
+    EXPECT_EQ(DecodeStoreAnswer(200, bad).kind,
+              StoreAnswer::Kind::kUnavailable);
+}
+
+}  // namespace
+}  // namespace mangodoor::platform
--- /dev/null
+++ b/tests/registry/store_sim.cc
@@ -0,0 +1,237 @@
+#include "registry/store_sim.h"
+
+namespace mangodoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kTick = milliseconds(50);
+constexpr Duration kAnswerTime = milliseconds(50);
+constexpr Duration kGiveUp = milliseconds(1200);
+constexpr Duration kBeat = milliseconds(400);
+
+}  // namespace
+
+void SimStore::Put(const std::string& key, const std::string& value) {
+  StoreItem item;
+  item.key = key;
+  item.value = value;
+  item.revision = ++revision_;
+  items_[key] = item;
+  history_.push_back(item);
+}
+
+void SimStore::Delete(const std::string& key) {
+  if (items_.erase(key) == 0)
+    return;
+  StoreItem item;
+  item.key = key;
+  item.revision = ++revision_;
+  item.deleted = true;
+  history_.push_back(item);
+}
+
+void SimStore::Compact() {
+  history_.clear();
+  history_after_ = revision_;
+}
+
+StoreAnswer SimStore::Page(const std::string& after_key) const {
+  StoreAnswer answer;
+  answer.kind = StoreAnswer::Kind::kItems;
+  answer.revision = revision_;
+  for (auto it = items_.upper_bound(after_key); it != items_.end(); ++it) {
+    if (answer.items.size() == page_size_) {
+      answer.more = true;
+      break;
+    }
+    answer.items.push_back(it->second);
+  }
+  return answer;
+}
+
+StoreAnswer SimStore::Changes(uint64_t revision) const {
+  StoreAnswer answer;
+  answer.revision = revision_;
+  if (revision < history_after_) {
+    answer.kind = StoreAnswer::Kind::kHistoryGone;
+    return answer;
+  }
+  answer.kind = StoreAnswer::Kind::kItems;
+  for (const StoreItem& item : history_) {
+    if (item.revision > revision)
+      answer.items.push_back(item);
+  }
+  return answer;
+}
+
+std::map<std::string, std::string> SimStore::contents() const {
+  std::map<std::string, std::string> contents;
+  for (const auto& [key, item] : items_)
+    contents[key] = item.value;
+  return contents;
+}
+
+RegistrySim::RegistrySim(int data_centres, int instances_each, size_t page_size)
+    : store_(page_size) {
+  for (int d = 0; d < data_centres; ++d) {
+    for (int i = 0; i < instances_each; ++i) {
+      auto reader = std::make_unique<SimReader>();
+      reader->id = InstanceId(std::to_string(d) + "-" + std::to_string(i));
+      reader->data_centre = d;
+      reader->rank = static_cast<size_t>(i);
+      reader->feed = std::make_unique<Feed>();
+      readers_.push_back(std::move(reader));
+    }
+  }
+}
+
+void RegistrySim::Restart(int index) {
+  SimReader& one = reader(index);
+  one.feed = std::make_unique<Feed>();
+  one.read.reset();
+  one.applied.clear();
+  one.next_beat.reset();
+  one.runs = true;
+}
+
+void RegistrySim::Stop(int index) {
+  reader(index).runs = false;
+  for (auto& other : readers_)
+    ForgetPeer(*other->feed, reader(index).id);
+}
+
+// Links as in the fleet: everyone to the first three of the data centre, and
+// the first ones to each other.
+bool RegistrySim::Linked(const SimReader& a, const SimReader& b) const {
+  if (&a == &b || !a.runs || !b.runs)
+    return false;
+  if (a.data_centre != b.data_centre)
+    return a.rank == 0 && b.rank == 0;
+  return a.rank < 3 || b.rank < 3;
+}
+
+FeedPlace RegistrySim::PlaceOf(const SimReader& reader) const {
+  FeedPlace place;
+  place.rank = reader.rank;
+  for (const auto& other : readers_) {
+    if (Linked(reader, *other) && other->data_centre == reader.data_centre)
+      place.neighbours[other->id] = other->rank;
+  }
+  return place;
+}
+
+void RegistrySim::Carry(SimReader& reader, FeedActions actions) {
+  for (OutgoingMessage& outgoing : actions.messages)
+    messages_.push_back({reader.id, std::move(outgoing)});
+  for (const StoreItem& item : actions.news) {
+    if (item.deleted)
+      reader.applied.erase(item.key);
+    else
+      reader.applied[item.key] = item.value;
+  }
+  Begin(reader, actions.read);
+}
+
+void RegistrySim::Begin(SimReader& reader, const ReadStart& read) {
+  if (read.kind == ReadStart::Kind::kNone)
+    return;
+  ++reader.calls;
+  reader.read = read;
+  reader.read_ends = now_ + kAnswerTime;
+  if (reader.mood == StoreMood::kSilent)
+    reader.read_ends = now_ + read.wait + kGiveUp;
+}
+
+void RegistrySim::AdvanceRead(SimReader& reader) {
+  if (!reader.read)
+    return;
+  const ReadStart read = *reader.read;
+  StoreAnswer answer;
+  if (reader.mood == StoreMood::kSilent) {
+    if (now_ < reader.read_ends)
+      return;
+  } else if (now_ < reader.read_ends) {
+    return;
+  } else if (reader.mood == StoreMood::kRefuses) {
+    answer.kind = StoreAnswer::Kind::kRefused;
+  } else if (read.kind == ReadStart::Kind::kPage) {
+    answer = store_.Page(read.after_key);
+  } else {
+    answer = store_.Changes(read.after_revision);
+    const bool waits = answer.kind == StoreAnswer::Kind::kItems &&
+                       answer.items.empty() &&
+                       now_ < reader.read_ends + read.wait;
+    if (waits)
+      return;
+  }
+  reader.read.reset();
+  Carry(reader, FinishStoreRead(*reader.feed, PlaceOf(reader),
+                                std::move(answer), now_));
+}
+
+void RegistrySim::Beat(SimReader& reader) {
+  if (reader.next_beat && now_ < *reader.next_beat)
+    return;
+  reader.next_beat = now_ + kBeat;
+  MemberBeat beat;
+  DescribeFeed(*reader.feed, now_, beat);
+  for (const auto& other : readers_) {
+    if (Linked(reader, *other))
+      messages_.push_back({reader.id, {other->id, beat}});
+  }
+}
+
+void RegistrySim::Deliver() {
+  std::deque<Message> messages;
+  messages.swap(messages_);
+  for (const Message& message : messages) {
+    for (auto& one : readers_) {
+      if (one->id != message.outgoing.to || !one->runs)
+        continue;
+      const PeerMessage& content = message.outgoing.message;
+      const FeedPlace place = PlaceOf(*one);
+      if (const auto* beat = std::get_if<MemberBeat>(&content))
+        Carry(*one,
+              HandleFeedBeat(*one->feed, place, message.from, *beat, now_));
+      if (const auto* request = std::get_if<FeedRequest>(&content))
+        Carry(*one, HandleFeedRequest(*one->feed, message.from, *request));
+      if (const auto* update = std::get_if<FeedUpdate>(&content))
+        Carry(*one,
+              HandleFeedUpdate(*one->feed, place, message.from, *update, now_));
+    }
+  }
+}
+
+void RegistrySim::RunFor(Duration duration) {
+  const TimePoint end = now_ + duration;
+  while (now_ < end) {
+    now_ += kTick;
+    for (auto& reader : readers_) {
+      if (!reader->runs)
+        continue;
+      AdvanceRead(*reader);
+      Carry(*reader, TickFeed(*reader->feed, PlaceOf(*reader), now_));
+      Beat(*reader);
+    }
+    Deliver();
+  }
+}
+
+int RegistrySim::calls() const {
+  int calls = 0;
+  for (const auto& reader : readers_)
+    calls += reader->calls;
+  return calls;
+}
+
+bool RegistrySim::AllCurrent() const {
+  const auto contents = store_.contents();
+  for (const auto& reader : readers_) {
+    if (reader->runs && reader->applied != contents)
+      return false;
+  }
+  return true;
+}
+
+}  // namespace mangodoor
--- a/tests/request/attempt_test.cc
+++ b/tests/request/attempt_test.cc
@@ -37,7 +37,7 @@
 }
 
 AttemptDecision DecideFirst(const Case& one) {
-  const RequestTraits request{one.idempotent, false};
+  const RequestTraits request{one.idempotent, false, 4};
   const AttemptHistory history = AddAttempt({}, one.report);
   return DecideAfterAttempt(request, history, one.report, one.remaining,
                             one.budget_left);
--- a/tests/routing/outlier_test.cc
+++ b/tests/routing/outlier_test.cc
@@ -55,7 +55,7 @@
     document.data_centres[1].in_service = in_service;
     ApplyVersion(pool, *ToVersion(document), EntryAddress(1), first_centre,
                  kStart);
-    return ConnectionShare(pool.servers.at(ServerName(0)), kStart);
+    return ConnectionShare(pool, pool.servers.at(ServerName(0)), kStart);
   };
   EXPECT_EQ(apply(true), 55);
   EXPECT_EQ(apply(false), 1);
--- a/tools/check_format.sh
+++ b/tools/check_format.sh
@@ -2,5 +2,5 @@
 # Fails if a C++ file is not formatted as .clang-format says.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-find src tests -name '*.h' -o -name '*.cc' | sort |
+find src tests platform -name '*.h' -o -name '*.cc' | sort |
   xargs clang-format --dry-run --Werror
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -6,7 +6,7 @@
 build=${1:-build}
 mkdir -p "$build/lint"
 export build
-headers=$(find src tests -name '*.h' -print0 | sort -z | xargs -0 cat .clang-tidy | sha256sum)
+headers=$(find src tests platform -name '*.h' -print0 | sort -z | xargs -0 cat .clang-tidy | sha256sum)
 export headers
 lint_file() {
   local key
@@ -21,5 +21,5 @@
   return 1
 }
 export -f lint_file
-find src tests -name '*.cc' -print0 | sort -z |
+find src tests platform -name '*.cc' -print0 | sort -z |
   xargs -0 -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_file {}'
