Trust readers of the store only while their copy is confirmed

Ruled out: shorter silence limits (they declare slow machines gone); watches by all hubs (three times the calls).

Now a reader counts only while its copy was confirmed within 2.5 s; a watch waits 2 s; leads tell each other at once of a new revision; a hub or lead counts silence from when it became one; followers get the latest state of each key, not every change of a storm, and of several versions that come at once only the last is decoded.

Also found by the new tests: a peer of the same revision made an instance forget that another one was ahead.

Tests that failed first: RegistrySimTest.SeveralReadersCutOffAtOnce, SilentWatchIsMadeUpForByOthers, FollowersGetOneChangeForEachKey, MembershipSimTest.LeadsThatLeaveCauseNoFalseEnds.

--- a/src/process/fleet/member_book.cc
+++ b/src/process/fleet/member_book.cc
@@ -48,15 +48,30 @@
   return last;
 }
 
+/** Notes duties that begin or end with the rank of this instance. */
+void NoteDuties(MemberBook& book, TimePoint now) {
+  const size_t rank = OwnRank(book);
+  if (rank >= kHubsPerDataCentre)
+    book.hub_since.reset();
+  else if (!book.hub_since)
+    book.hub_since = now;
+  if (rank > 0)
+    book.lead_since.reset();
+  else if (!book.lead_since)
+    book.lead_since = now;
+}
+
 void WatchOwnDataCentre(MemberBook& book,
                         const SilenceLimits& limits,
                         TimePoint now,
                         std::vector<InstanceId>& gone) {
   const std::vector<const Member*> ranked =
       RankedMembers(book, book.self.data_centre);
-  const size_t watched = OwnRank(book) < kHubsPerDataCentre
-                             ? ranked.size()
-                             : std::min(kHubsPerDataCentre, ranked.size());
+  // Instances that are no hubs are linked to a hub only since it is one.
+  const bool settled =
+      book.hub_since && now - *book.hub_since > limits.instance;
+  const size_t watched =
+      settled ? ranked.size() : std::min(kHubsPerDataCentre, ranked.size());
   for (size_t i = 0; i < watched; ++i) {
     if (ranked[i]->id == book.self.id)
       continue;
@@ -70,6 +85,8 @@
                            const SilenceLimits& limits,
                            TimePoint now,
                            std::vector<InstanceId>& gone) {
+  if (!book.lead_since || now - *book.lead_since <= limits.data_centre)
+    return;
   for (const DataCentreId& data_centre : KnownDataCentres(book)) {
     if (data_centre == book.self.data_centre)
       continue;
@@ -181,10 +198,10 @@
 std::vector<InstanceId> DeclareGone(MemberBook& book,
                                     const SilenceLimits& limits,
                                     TimePoint now) {
+  NoteDuties(book, now);
   std::vector<InstanceId> gone;
   WatchOwnDataCentre(book, limits, now, gone);
-  if (OwnRank(book) == 0)
-    WatchOtherDataCentres(book, limits, now, gone);
+  WatchOtherDataCentres(book, limits, now, gone);
   return gone;
 }
 
--- a/src/process/fleet/member_book.h
+++ b/src/process/fleet/member_book.h
@@ -31,6 +31,10 @@
   uint64_t own_change = 0;
   /** Silence counts from here on; moved after a pause of this process. */
   TimePoint watching_since{};
+  /** Since when this instance has to watch what it watches as a hub. */
+  std::optional<TimePoint> hub_since;
+  /** Since when this instance has to watch the other data centres. */
+  std::optional<TimePoint> lead_since;
 };
 
 /** How long until an instance counts as gone. */
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -1,5 +1,6 @@
 #include "process/io/fleet_process.h"
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -38,6 +39,9 @@
 
 constexpr size_t kMaxDirectoryConnections = 1024;
 
+// Bytes between data centres are dear; a storm of changes is told in parts.
+constexpr Duration kTellSpacing = std::chrono::milliseconds(300);
+
 Member OwnMember(const Settings& settings, const Clock& clock) {
   Member self;
   self.id = IdOfEndpoint(settings.self.peer_endpoint);
@@ -83,6 +87,7 @@
   void SendBeats(const std::vector<InstanceId>& due, const FleetView& view);
   void KeepLinks(std::vector<Instance> links);
   void Run(FeedActions actions);
+  void TellOtherLeads();
   void StartRead(const ReadStart& read);
   FeedPlace Place() const;
   AddressAnswer Addresses(const AddressQuery& query) const;
@@ -117,6 +122,7 @@
   boost::asio::steady_timer stop_timer_;
   /** Used by the ticks of the members only, one at a time. */
   std::map<InstanceId, Endpoint> links_;
+  std::atomic<TimePoint> told_at_{TimePoint()};
   std::atomic<bool> stopping_{false};
 };
 
@@ -314,11 +320,27 @@
 void FleetProcess::Run(FeedActions actions) {
   for (const OutgoingMessage& outgoing : actions.messages)
     hub_.Send(outgoing.to, outgoing.message);
-  if (!actions.news.empty())
+  if (!actions.news.empty()) {
     applier_.Apply(actions.news);
+    TellOtherLeads();
+  }
   StartRead(actions.read);
 }
 
+// A data centre whose reader waits at a silent watch hears at once that it
+// lacks something.
+void FleetProcess::TellOtherLeads() {
+  const FleetView view = ViewFleet(fleet_);
+  const TimePoint now = clock_.Now();
+  if (view.rank > 0 || now - told_at_.load() < kTellSpacing)
+    return;
+  told_at_ = now;
+  MemberBeat beat;
+  DescribeFeed(feed_, now, beat);
+  for (const InstanceId& peer : view.far)
+    hub_.Send(peer, beat);
+}
+
 void FleetProcess::StartRead(const ReadStart& read) {
   if (read.kind == ReadStart::Kind::kNone)
     return;
--- a/src/process/io/registry_applier.cc
+++ b/src/process/io/registry_applier.cc
@@ -1,5 +1,6 @@
 #include "process/io/registry_applier.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "process/io/log.h"
@@ -18,6 +19,29 @@
       self_(self),
       decode_(std::move(decode)) {}
 
+namespace {
+
+/** The last state of each key, in the order of revisions. */
+std::vector<const StoreItem*> LatestOfEachKey(
+    const std::vector<StoreItem>& items) {
+  std::map<std::string, const StoreItem*> latest;
+  for (const StoreItem& item : items) {
+    const StoreItem*& known = latest[item.key];
+    if (!known || known->revision < item.revision)
+      known = &item;
+  }
+  std::vector<const StoreItem*> ordered;
+  for (const auto& [key, item] : latest)
+    ordered.push_back(item);
+  std::sort(ordered.begin(), ordered.end(),
+            [](const StoreItem* a, const StoreItem* b) {
+              return a->revision < b->revision;
+            });
+  return ordered;
+}
+
+}  // namespace
+
 bool RegistryApplier::IsNews(const StoreItem& item) {
   uint64_t& revision = revisions_[item.key];
   if (item.revision < revision)
@@ -31,7 +55,10 @@
   OrderedLock lock(mutex_);
   std::vector<ServerRecord> records;
   std::vector<BackendServerId> gone;
-  for (const StoreItem& item : items) {
+  // A version of a thousand routes takes milliseconds to decode, and a storm
+  // brings many at once: only the last one matters.
+  for (const StoreItem* latest : LatestOfEachKey(items)) {
+    const StoreItem& item = *latest;
     if (!IsNews(item))
       continue;
     const RegistryFact fact = decode_(item, clock_.WallNow());
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -13,15 +13,21 @@
 constexpr Duration kBeatValid = std::chrono::milliseconds(1500);
 
 // Bytes between data centres are dear, so the own one comes first.
-constexpr Duration kAskFarAfter = std::chrono::milliseconds(1000);
+constexpr Duration kAskFarAfter = std::chrono::milliseconds(500);
 
 // The functions below are called with the feed locked.
 
+/** True if the peer can be trusted to bring changes. */
+bool Reads(const PeerFeed& peer, TimePoint now) {
+  return peer.reading && now - peer.heard <= kBeatValid &&
+         now - peer.confirmed <= kFeedOverdue;
+}
+
 bool LowerRankReads(const Feed& feed, const FeedPlace& place, TimePoint now) {
   return std::any_of(feed.peers.begin(), feed.peers.end(), [&](const auto& p) {
     const auto rank = place.neighbours.find(p.first);
     return rank != place.neighbours.end() && rank->second < place.rank &&
-           p.second.reading && now - p.second.heard <= kBeatValid;
+           Reads(p.second, now);
   });
 }
 
@@ -29,8 +35,7 @@
 bool SomeoneNearReads(const Feed& feed, const FeedPlace& place, TimePoint now) {
   return IsReading(feed.reader) ||
          std::any_of(feed.peers.begin(), feed.peers.end(), [&](const auto& p) {
-           return place.neighbours.count(p.first) > 0 && p.second.reading &&
-                  now - p.second.heard <= kBeatValid;
+           return place.neighbours.count(p.first) > 0 && Reads(p.second, now);
          });
 }
 
@@ -62,8 +67,11 @@
   }
 }
 
-void NoteAhead(Feed& feed, TimePoint now) {
-  if (!feed.behind_since)
+/** Notes whether any peer is known to be ahead. */
+void NoteRevisions(Feed& feed, TimePoint now) {
+  if (feed.known_revision <= feed.replica.revision)
+    feed.behind_since.reset();
+  else if (!feed.behind_since)
     feed.behind_since = now;
 }
 
@@ -109,6 +117,7 @@
       feed.confirmed_at = now;
     }
   }
+  NoteRevisions(feed, now);
   FinishRead(feed.reader, kind, !actions.news.empty(), now);
   PushNews(feed, place, before, actions);
   return actions;
@@ -121,17 +130,23 @@
                            TimePoint now) {
   OrderedLock lock(feed.mutex);
   FeedActions actions;
-  feed.peers[from] = {beat.feed_revision, beat.reading, now};
+  PeerFeed& peer = feed.peers.try_emplace(from).first->second;
+  if (peer.heard == TimePoint())
+    peer.confirmed = now;
+  peer.revision = beat.feed_revision;
+  peer.reading = beat.reading;
+  peer.heard = now;
+  if (beat.feed_age)
+    peer.confirmed = std::max(peer.confirmed, now - *beat.feed_age);
   if (beat.feed_revision <= feed.replica.revision) {
     if (beat.feed_revision == feed.replica.revision && beat.feed_age) {
       feed.confirmed_at = std::max(feed.confirmed_at.value_or(TimePoint()),
                                    now - *beat.feed_age);
     }
-    if (beat.feed_revision == feed.replica.revision)
-      feed.behind_since.reset();
     return actions;
   }
-  NoteAhead(feed, now);
+  feed.known_revision = std::max(feed.known_revision, beat.feed_revision);
+  NoteRevisions(feed, now);
   const bool near = place.neighbours.count(from) > 0;
   if (!near && SomeoneNearReads(feed, place, now) &&
       now - *feed.behind_since < kAskFarAfter)
@@ -170,8 +185,8 @@
   changes.items = update.items;
   if (JoinsOn(feed.replica, changes)) {
     feed.requested_at.reset();
-    feed.behind_since.reset();
     actions.news = ApplyChanges(feed.replica, changes);
+    NoteRevisions(feed, now);
     // What comes from afar is news to the whole data centre.
     if (place.neighbours.count(from) == 0)
       PushNews(feed, place, before, actions);
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -16,6 +16,8 @@
   uint64_t revision = 0;
   bool reading = false;
   TimePoint heard{};
+  /** When its copy was known to be current; the first beat if it never was. */
+  TimePoint confirmed{};
 };
 
 /**
@@ -31,7 +33,9 @@
   std::optional<TimePoint> requested_at;
   /** The store, or a peer that read it, had nothing newer at this time. */
   std::optional<TimePoint> confirmed_at;
-  /** Since when a peer of another data centre is known to be ahead. */
+  /** The highest revision that a peer has stated. */
+  uint64_t known_revision = 0;
+  /** Since when a peer is known to be ahead. */
   std::optional<TimePoint> behind_since;
 };
 
--- a/src/process/registry/feed_reader.h
+++ b/src/process/registry/feed_reader.h
@@ -31,7 +31,10 @@
   TimePoint now;
   /** Place among the instances of the data centre; the first one reads. */
   size_t rank = 0;
-  /** An instance with a lower rank says that it reads. */
+  /**
+   * An instance with a lower rank says that it reads, and its copy was known
+   * to be current a short time ago.
+   */
   bool lower_rank_reads = false;
   /** The revision of the replica; 0 before the first copy. */
   uint64_t revision = 0;
@@ -48,7 +51,13 @@
 };
 
 /** How long the store may hold back the answer to a watch without changes. */
-constexpr std::chrono::milliseconds kWatchWait{3000};
+constexpr std::chrono::milliseconds kWatchWait{2000};
+
+/**
+ * A copy that was not known to be current for this long is not kept up by
+ * anyone: a watch ends within its wait, and a beat brings the news.
+ */
+constexpr Duration kFeedOverdue = std::chrono::milliseconds(2500);
 
 /** Says which read starts now, and notes that it does. */
 ReadStart PlanRead(FeedReader& reader, const ReaderInputs& inputs);
--- a/src/process/registry/store_replica.cc
+++ b/src/process/registry/store_replica.cc
@@ -25,13 +25,27 @@
 }
 
 void Remember(StoreReplica& replica, const StoreItem& item) {
-  replica.recent.push_back(item);
+  replica.recent.push_back({item.key, item.revision});
   while (replica.recent.size() > kMaxRecent) {
     replica.recent_after = replica.recent.front().revision;
     replica.recent.pop_front();
   }
 }
 
+/** The item, or its deletion. */
+StoreItem StateOf(const StoreReplica& replica,
+                  const std::string& key,
+                  uint64_t changed_at) {
+  const auto known = replica.items.find(key);
+  if (known != replica.items.end())
+    return known->second;
+  StoreItem deletion;
+  deletion.key = key;
+  deletion.revision = changed_at;
+  deletion.deleted = true;
+  return deletion;
+}
+
 /** Items of the replica that a whole copy at `revision` no longer has. */
 std::vector<StoreItem> MissingFrom(
     const StoreReplica& replica,
@@ -129,10 +143,14 @@
       changes.items.push_back(item);
     return changes;
   }
-  for (const StoreItem& item : replica.recent) {
-    if (item.revision > revision)
-      changes.items.push_back(item);
+  // The latest state of each key is all that a follower needs.
+  std::map<std::string, uint64_t> changed;
+  for (const RecentChange& change : replica.recent) {
+    if (change.revision > revision)
+      changed[change.key] = change.revision;
   }
+  for (const auto& [key, changed_at] : changed)
+    changes.items.push_back(StateOf(replica, key, changed_at));
   return changes;
 }
 
--- a/src/process/registry/store_replica.h
+++ b/src/process/registry/store_replica.h
@@ -22,14 +22,20 @@
   std::vector<StoreItem> items;
 };
 
+/** A key that changed. */
+struct RecentChange {
+  std::string key;
+  uint64_t revision = 0;
+};
+
 /** A copy of the platform's store, complete up to one revision. */
 struct StoreReplica {
   /** Value and revision of each key. */
   std::map<std::string, StoreItem> items;
   /** 0 until the first whole copy. */
   uint64_t revision = 0;
-  /** The latest changes, oldest first, for instances that follow this one. */
-  std::deque<StoreItem> recent;
+  /** Keys of the latest changes, oldest first, for those that follow. */
+  std::deque<RecentChange> recent;
   /** `recent` holds every change after this revision. */
   uint64_t recent_after = 0;
 };
--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -43,6 +43,10 @@
   UpdateLinks();
 }
 
+void FleetSim::Leave(int index) {
+  BeginLeaving(*instances_.at(IdOf(index)).table, now_);
+}
+
 bool FleetSim::runs(int index) const {
   return instances_.at(IdOf(index)).table != nullptr;
 }
@@ -108,6 +112,8 @@
       if (!instance.table)
         continue;
       const FleetActions actions = TickFleet(*instance.table, now_);
+      for (const InstanceId& gone : actions.gone)
+        false_ends_ += Reachable(id, gone) ? 1 : 0;
       instance.wanted.clear();
       for (const Instance& link : actions.links)
         instance.wanted.insert(link.id);
--- a/tests/members/fleet_sim.h
+++ b/tests/members/fleet_sim.h
@@ -40,6 +40,8 @@
   int size() const { return static_cast<int>(ids_.size()); }
   void Start(int index);
   void Kill(int index);
+  /** Begins the planned stop of a machine's process. */
+  void Leave(int index);
   bool runs(int index) const;
   /** Cuts all paths of a machine, or heals them. */
   void SetCut(int index, bool cut);
@@ -52,6 +54,8 @@
   /** Links that are open at a machine. */
   size_t LinksAt(int index) const;
   TimePoint now() const { return now_; }
+  /** How often an instance that could be reached was declared gone. */
+  int false_ends() const { return false_ends_; }
 
  private:
   bool Reachable(const InstanceId& a, const InstanceId& b) const;
@@ -66,6 +70,7 @@
   std::deque<SimMessage> messages_;
   TimePoint now_{std::chrono::hours(1)};
   uint64_t next_incarnation_ = 1;
+  int false_ends_ = 0;
 };
 
 }  // namespace mangodoor
--- a/tests/members/membership_sim_test.cc
+++ b/tests/members/membership_sim_test.cc
@@ -111,6 +111,21 @@
   ExpectAllAgree(sim);
 }
 
+// Guards against a new lead that declares the other data centres gone, since
+// it never heard from them while another one was the lead.
+TEST(MembershipSimTest, LeadsThatLeaveCauseNoFalseEnds) {
+  FleetSim sim(4, 4, 3);
+  StartAll(sim);
+  sim.RunFor(seconds(10));
+  for (int i = 0; i < sim.size(); i += 3) {
+    sim.Leave(i);
+    sim.RunFor(seconds(4));
+    sim.Start(i);
+    sim.RunFor(seconds(1));
+  }
+  EXPECT_EQ(sim.false_ends(), 0);
+}
+
 // Guards against a number of links that grows with the fleet: only the hubs
 // may have more, and no more than their data centre has instances.
 TEST(MembershipSimTest, LinksAreBounded) {
--- a/tests/registry/registry_sim_test.cc
+++ b/tests/registry/registry_sim_test.cc
@@ -71,6 +71,51 @@
   }
 }
 
+// Guards against an instance that trusts its data centre's readers while
+// these are cut off from the store: each would take its time to notice.
+TEST(RegistrySimTest, SeveralReadersCutOffAtOnce) {
+  RegistrySim sim(1, 3, kPage);
+  Fill(sim, 12);
+  sim.RunFor(seconds(3));
+  sim.reader(0).mood = StoreMood::kSilent;
+  sim.reader(1).mood = StoreMood::kSilent;
+  sim.RunFor(seconds(1));
+  sim.store().Put("op/config", "new");
+  sim.RunFor(kInForce);
+  EXPECT_TRUE(sim.IsCurrent(2));
+}
+
+// Guards against a data centre whose reader waits at a watch that has gone
+// silent, while the others have long heard of the change.
+TEST(RegistrySimTest, SilentWatchIsMadeUpForByOthers) {
+  RegistrySim sim(3, 3, kPage);
+  Fill(sim, 12);
+  sim.RunFor(seconds(3));
+  sim.reader(0).mood = StoreMood::kLosesWatch;
+  sim.RunFor(milliseconds(300));
+  sim.store().Put("op/config", "new");
+  sim.RunFor(kInForce);
+  EXPECT_TRUE(sim.AllCurrent());
+}
+
+// Guards against a storm of versions whose sum is longer than a message may
+// be: followers need the last one only.
+TEST(RegistrySimTest, FollowersGetOneChangeForEachKey) {
+  RegistrySim sim(1, 2, kPage);
+  Fill(sim, 3);
+  sim.RunFor(seconds(3));
+  const uint64_t before = sim.store().revision();
+  for (int i = 0; i < 50; ++i)
+    sim.store().Put("op/config", std::to_string(i));
+  sim.RunFor(kInForce);
+  const FeedActions actions = HandleFeedRequest(
+      *sim.reader(0).feed, InstanceId("late"), FeedRequest{before});
+  ASSERT_EQ(actions.messages.size(), 1U);
+  const auto& update = std::get<FeedUpdate>(actions.messages[0].message);
+  ASSERT_EQ(update.items.size(), 1U);
+  EXPECT_EQ(update.items[0].value, "49");
+}
+
 // Guards against a data centre that the store refuses as a whole: the others
 // have to pass changes on.
 TEST(RegistrySimTest, RefusedDataCentreHearsFromOthers) {
--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -7,7 +7,7 @@
 
 constexpr Duration kTick = milliseconds(50);
 constexpr Duration kAnswerTime = milliseconds(50);
-constexpr Duration kGiveUp = milliseconds(1200);
+constexpr Duration kGiveUp = milliseconds(800);
 constexpr Duration kBeat = milliseconds(400);
 
 }  // namespace
@@ -139,8 +139,6 @@
   ++reader.calls;
   reader.read = read;
   reader.read_ends = now_ + kAnswerTime;
-  if (reader.mood == StoreMood::kSilent)
-    reader.read_ends = now_ + read.wait + kGiveUp;
 }
 
 void RegistrySim::AdvanceRead(SimReader& reader) {
@@ -148,8 +146,13 @@
     return;
   const ReadStart read = *reader.read;
   StoreAnswer answer;
-  if (reader.mood == StoreMood::kSilent) {
-    if (now_ < reader.read_ends)
+  const TimePoint given_up = reader.read_ends + read.wait + kGiveUp;
+  if (reader.mood == StoreMood::kLosesWatch) {
+    if (now_ < given_up)
+      return;
+    reader.mood = StoreMood::kServes;
+  } else if (reader.mood == StoreMood::kSilent) {
+    if (now_ < given_up)
       return;
   } else if (now_ < reader.read_ends) {
     return;
@@ -225,10 +228,13 @@
   return calls;
 }
 
+bool RegistrySim::IsCurrent(int index) const {
+  return readers_.at(static_cast<size_t>(index))->applied == store_.contents();
+}
+
 bool RegistrySim::AllCurrent() const {
-  const auto contents = store_.contents();
-  for (const auto& reader : readers_) {
-    if (reader->runs && reader->applied != contents)
+  for (int i = 0; i < static_cast<int>(readers_.size()); ++i) {
+    if (readers_.at(static_cast<size_t>(i))->runs && !IsCurrent(i))
       return false;
   }
   return true;
--- a/tests/registry/store_sim.h
+++ b/tests/registry/store_sim.h
@@ -37,7 +37,13 @@
 };
 
 /** How the store treats one instance. */
-enum class StoreMood { kServes, kRefuses, kSilent };
+enum class StoreMood {
+  kServes,
+  kRefuses,
+  kSilent,
+  /** The watch that waits now never ends; later reads are served. */
+  kLosesWatch,
+};
 
 /** An instance that reads the store or hears from others. */
 struct SimReader {
@@ -73,6 +79,7 @@
   int calls() const;
   /** True if every instance that runs has just what the store holds. */
   bool AllCurrent() const;
+  bool IsCurrent(int index) const;
 
  private:
   FeedPlace PlaceOf(const SimReader& reader) const;
