Match answers to requests by id, and hold them until they are whole

Answers that broke off, were encoded, or bore no signature were passed on as far as they came.

Now an answer with another id is passed over; a success without the server's signature or with an encoding counts as broken; an answer is held until it is whole or 64 KiB long, so an idempotent request can be asked elsewhere. The product's own interface is unchanged: CallNames says which of this an interface has.

Tests that failed first: SigningServerTest.

--- a/src/request/call_names.h
+++ b/src/request/call_names.h
@@ -34,6 +34,11 @@
   std::string signature;
   /** An answer with a content encoding is a broken one. */
   bool encoded_answer_is_broken = false;
+  /**
+   * An answer is held until it is whole, as far as it fits into a buffer, so
+   * that another server can be asked if it breaks off.
+   */
+  bool holds_answers = false;
   /** Adds Forwarded and Via. */
   bool adds_trace_fields = true;
   /** Status for a key that no client account has. */
--- a/src/request/io/attempt_run.cc
+++ b/src/request/io/attempt_run.cc
@@ -180,12 +180,53 @@
     if (status == kStatusSwitching)
       return AttemptReport::End::kBadResponse;
     // Interim responses are for this hop: it has answered Expect itself.
-    if (status >= kStatusOk)
+    if (status < kStatusOk)
+      continue;
+    header_ = std::move(parser_->get().base());
+    if (AnswersThisRequest())
       break;
+    if (!SkipBody(yield))
+      return AttemptReport::End::kBadResponse;
   }
-  header_ = std::move(parser_->get().base());
   NoteLoad();
-  return Classify();
+  const AttemptReport::End end = Classify();
+  if (end != AttemptReport::End::kResponse || !context_.names.holds_answers)
+    return end;
+  return HoldBody(yield);
+}
+
+/** False for a late second answer to an earlier request. */
+bool AttemptRun::AnswersThisRequest() const {
+  if (request_.id.empty())
+    return true;
+  const auto field = header_.find(context_.names.request_id);
+  return field == header_.end() ||
+         std::string_view(field->value().data(), field->value().size()) ==
+             request_.id;
+}
+
+/** Passes over the rest of an answer; false if its end cannot be told. */
+bool AttemptRun::SkipBody(YieldContext yield) {
+  if (!parser_->content_length() && !parser_->chunked())
+    return false;
+  return HoldBody(yield) == AttemptReport::End::kResponse && parser_->is_done();
+}
+
+/** Reads the body until it is whole or the buffer is full. */
+AttemptReport::End AttemptRun::HoldBody(YieldContext yield) {
+  held_body_.clear();
+  while (!parser_->is_done() && held_body_.size() < kMaxBufferedBody) {
+    if (DecodeBody(*parser_, connection_->buffer, held_body_, kMaxBufferedBody))
+      return AttemptReport::End::kBadResponse;
+    if (parser_->is_done() || held_body_.size() >= kMaxBufferedBody)
+      break;
+    boost::system::error_code error = Fill(yield);
+    if (error == asio::error::eof)
+      parser_->put_eof(error);
+    if (error)
+      return AttemptReport::End::kConnectionLost;
+  }
+  return AttemptReport::End::kResponse;
 }
 
 std::optional<AttemptReport::End> AttemptRun::ReadOneHead(YieldContext yield) {
--- a/src/request/io/attempt_run.h
+++ b/src/request/io/attempt_run.h
@@ -59,6 +59,8 @@
   AttemptReport& report() { return report_; }
   ResponseParser& parser() { return *parser_; }
   const ResponseHeader& header() const { return header_; }
+  /** The part of the body that was read before Run returned. */
+  std::string TakeHeldBody() { return std::move(held_body_); }
   boost::beast::flat_buffer& buffer() { return connection_->buffer; }
 
  private:
@@ -68,6 +70,9 @@
   bool Send(YieldContext yield);
   AttemptReport::End ReadHead(YieldContext yield);
   std::optional<AttemptReport::End> ReadOneHead(YieldContext yield);
+  bool AnswersThisRequest() const;
+  bool SkipBody(YieldContext yield);
+  AttemptReport::End HoldBody(YieldContext yield);
   AttemptReport::End Classify() const;
   bool IsBroken() const;
   AttemptReport End(AttemptReport::End end);
@@ -81,6 +86,7 @@
   std::shared_ptr<Delivery<BackendConnectionPtr>> connecting_;
   boost::optional<ResponseParser> parser_;
   ResponseHeader header_;
+  std::string held_body_;
   AttemptReport report_;
   std::optional<AttemptReport::End> aborted_;
   AttemptResult result_;
--- a/src/request/io/outgoing_request.h
+++ b/src/request/io/outgoing_request.h
@@ -20,6 +20,8 @@
   std::string host;
   std::string path;
   std::string key_digest;
+  /** Empty if the interface has none. */
+  std::string id;
   TimePoint deadline;
   RequestTraits traits;
   bool is_head = false;
--- a/src/request/io/request_run.cc
+++ b/src/request/io/request_run.cc
@@ -128,6 +128,8 @@
   request_.host = std::string(View(header_[http::field::host]));
   request_.path = std::string(View(header_.target()));
   request_.key_digest = KeyDigest();
+  if (!context_.names.request_id.empty())
+    request_.id = std::string(View(header_[context_.names.request_id]));
   request_.authorisation = Authorise(*request_.version, request_.host,
                                      request_.path, request_.key_digest);
   if (request_.authorisation.error)
--- a/src/request/io/response_relay.cc
+++ b/src/request/io/response_relay.cc
@@ -84,12 +84,12 @@
   Watchdog& watch = caller.run_watch();
   std::string out = ForwardedResponseHead(attempt.header(), framing,
                                           options.close, context.names);
-  std::string piece;
+  std::string piece = attempt.TakeHeldBody();
   for (;;) {
-    piece.clear();
     if (DecodeBody(parser, attempt.buffer(), piece, kPieceSize))
       return RelayEnd::kServerBroke;
     AppendPiece(out, piece, framing);
+    piece.clear();
     if (parser.is_done()) {
       if (!options.head_only)
         AppendEnd(out, parser, framing, context.names);
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -184,6 +184,100 @@
   EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 403"));
 }
 
+/** Servers that repeat the id of a request, and sign what they answer. */
+class SigningServerTest : public BrokenServerTest {
+ protected:
+  SigningServerTest() {
+    names_.request_id = "X-Id";
+    names_.signature = "X-Signed";
+    names_.encoded_answer_is_broken = true;
+    names_.holds_answers = true;
+    attempts_.policy = RetryPolicy{1, std::chrono::seconds(1), 1000};
+  }
+
+  static std::string Request(const std::string& id, const char* path) {
+    return std::string("GET ") + path + " HTTP/1.1\r\nHost: a\r\nX-Id: " + id +
+           "\r\n\r\n";
+  }
+
+  static std::string Answer(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+};
+
+// Guards against a second answer that comes late, where the answer to the
+// next request on the connection is due (I6).
+TEST_F(SigningServerTest, LateExtraAnswerIsPassedOver) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(Answer("one", "first"));
+    connection.ReadMessage();
+    connection.Write(Answer("one", "again") + Answer("two", "second"));
+  });
+  TestConnection caller = Connect();
+  caller.Write(Request("one", "/open"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+  caller.Write(Request("two", "/open"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("second"));
+}
+
+// Guards against a broken answer that reaches a caller although another
+// server could be asked, and against a success that no server made.
+TEST_F(SigningServerTest, BrokenAnswersAreAskedForElsewhere) {
+  const std::vector<std::string> broken = {
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nno",
+      "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: a\r\n"
+      "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno",
+      "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: a\r\n"
+      "Content-Length: 20\r\n\r\nshort",
+      "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: a\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      "no answer at all\r\n\r\n",
+  };
+  for (const std::string& answer : broken) {
+    SCOPED_TRACE(answer);
+    received_ = 0;
+    const FakeServer::Script script = [this, &answer](TestConnection& one) {
+      while (!one.ReadMessage().empty()) {
+        if (++received_ == 1) {
+          one.Write(answer);
+          return;
+        }
+        one.Write(Answer("a", "good"));
+      }
+    };
+    FakeServer first(script);
+    FakeServer second(script);
+    if (!listener_)
+      Start({first.endpoint(), second.endpoint()});
+    servers_ = {first.endpoint(), second.endpoint()};
+    static uint64_t number = 2;
+    Apply(MakeTestVersion(number++));
+    TestConnection caller = Connect();
+    caller.Write(Request("a", "/idempotent"));
+    EXPECT_THAT(caller.ReadMessage(), EndsWith("good"));
+  }
+}
+
+// Guards against a failure in place of an answer that is longer than what is
+// held, and against a part of it that looks whole.
+TEST_F(SigningServerTest, LongAnswersAreStreamed) {
+  const std::string body(200 * 1024, 'x');
+  StartWith([&body](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(Answer("a", body));
+    connection.ReadMessage();
+    connection.Write(Answer("b", body).substr(0, 150 * 1024));
+  });
+  TestConnection caller = Connect();
+  caller.Write(Request("a", "/open"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith(body));
+  caller.Write(Request("b", "/open"));
+  EXPECT_LT(caller.ReadAll().size(), body.size());
+}
+
 // Guards against a slow server that sets the tail latency although another
 // one is free.
 TEST_F(BrokenServerTest, HedgeOvertakesSlowServer) {
--- a/tests/connection/data_path_fixture.cc
+++ b/tests/connection/data_path_fixture.cc
@@ -31,7 +31,8 @@
                                         pool_limits_);
   listener_ = std::make_unique<CallerListener>(
       workers_.context(), Endpoint{"127.0.0.1", 0},
-      SessionContext{tables_, clock_, actions_, *pool_, attempts_, limits_});
+      SessionContext{tables_, clock_, actions_, *pool_, attempts_, limits_,
+                     names_});
   EnterServiceAlone();
   Apply(MakeTestVersion(1));
   listener_->Start();
--- a/tests/connection/data_path_fixture.h
+++ b/tests/connection/data_path_fixture.h
@@ -57,6 +57,7 @@
   }
 
   TimeLimits limits_;
+  CallNames names_;
   PoolLimits pool_limits_;
   std::chrono::milliseconds route_timeout_{3000};
   std::unique_ptr<FakeServer> server_;
