Share cold servers within their data centre, take callers for less long

Ruled out: a smaller share for all (cold servers of a data centre with few instances stay unused); waiting longer for requests (the grace is 6 s).

Now only the instances of a cold server's data centre send to it, unless it has none, and shares below one a second are spread over time. Requests are taken for 0.45 of the grace, and may finish until 0.95 of it.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -34,8 +34,8 @@
 
 // Parts of the grace of a planned stop: new callers are taken for the first,
 // running requests may finish until the second.
-constexpr double kListenPart = 0.6;
-constexpr double kFinishPart = 0.93;
+constexpr double kListenPart = 0.45;
+constexpr double kFinishPart = 0.95;
 
 constexpr size_t kMaxDirectoryConnections = 1024;
 
@@ -315,15 +315,15 @@
   for (const OutgoingMessage& outgoing : fleet.messages)
     hub_.Send(outgoing.to, outgoing.message);
   const FleetView view = ViewFleet(fleet_);
-  int near = 0;
+  std::map<DataCentreId, int> instances_of;
   for (const Member& member : view.live)
-    near += member.data_centre == view.self.data_centre ? 1 : 0;
+    ++instances_of[member.data_centre];
   const int all = static_cast<int>(view.live.size());
   {
     OrderedLock lock(tables_.usage.mutex);
     NoteInstances(tables_.usage.book, all, now);
   }
-  NoteInstances(tables_.servers, near, all);
+  NoteInstances(tables_.servers, instances_of);
   NoteInstances(attempts_, all);
   SendBeats(fleet.beats, view);
   KeepLinks(std::move(fleet.links));
--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -26,20 +26,25 @@
                  TimePoint now) {
   if (rate_per_s <= 0 || !IsCold(window, now))
     return true;
+  const double share_per_s = rate_per_s / std::max(1, instances);
+  if (share_per_s < 1) {
+    const auto spacing = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(1 / share_per_s));
+    return !window.last_sent || now - *window.last_sent >= spacing;
+  }
   const auto recent =
       std::count_if(window.sent.begin(), window.sent.end(),
                     [now](TimePoint sent) { return now - sent < kWindow; });
-  // One request each is always allowed, so that no server stays unused.
-  const int allowed =
-      std::max(1, static_cast<int>(rate_per_s / std::max(1, instances)));
-  return recent < allowed;
+  return recent < static_cast<int>(share_per_s);
 }
 
 void NoteSent(ColdWindow& window, TimePoint now) {
   while (!window.sent.empty() && now - window.sent.front() >= kWindow)
     window.sent.pop_front();
-  if (IsCold(window, now))
-    window.sent.push_back(now);
+  if (!IsCold(window, now))
+    return;
+  window.sent.push_back(now);
+  window.last_sent = now;
 }
 
 }  // namespace mangodoor
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -2,6 +2,7 @@
 #define PROCESS_SERVERS_COLD_WINDOW_H_
 
 #include <deque>
+#include <optional>
 
 #include "process/clock.h"
 
@@ -12,6 +13,7 @@
   TimePoint until{};
   /** Requests sent to it in the last second while it was cold. */
   std::deque<TimePoint> sent;
+  std::optional<TimePoint> last_sent;
 };
 
 /** Notes that the server is cold for `remaining` from now on. */
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -59,6 +59,22 @@
   AddTo(pool, entry);
 }
 
+/**
+ * What a cold server bears is shared by the instances of its data centre. The
+ * others send nothing there, unless it has none.
+ */
+bool MaySendToCold(const ServerPool& pool,
+                   const ServiceEntry& service,
+                   const ServerEntry& server,
+                   TimePoint now) {
+  const auto near = pool.instances_of.find(server.data_centre);
+  const int sharers = near == pool.instances_of.end() ? 0 : near->second;
+  if (!server.own_data_centre && sharers > 0)
+    return false;
+  return MaySendCold(server.cold, service.cold_rate_per_s,
+                     sharers > 0 ? sharers : pool.instances, now);
+}
+
 void ServeAllQueues(ServerPool& pool, TimePoint now) {
   for (auto& [id, service] : pool.services)
     ServeQueue(pool, service, now);
@@ -105,6 +121,15 @@
   return actions;
 }
 
+void NoteInstances(ServerPool& pool,
+                   const std::map<DataCentreId, int>& instances_of) {
+  pool.instances_of = instances_of;
+  pool.instances = 0;
+  for (const auto& [data_centre, count] : instances_of)
+    pool.instances += count;
+  pool.instances = std::max(1, pool.instances);
+}
+
 std::map<DataCentreId, double> CapacityOf(
     const ServerPool& pool,
     const std::vector<ServiceId>& services,
@@ -144,8 +169,7 @@
                         TimePoint now) {
   if (!IsUsable(server, now))
     return 0;
-  if (!MaySendCold(server.cold, service.cold_rate_per_s, pool.near_instances,
-                   now))
+  if (IsCold(server.cold, now) && !MaySendToCold(pool, service, server, now))
     return 0;
   const int others = static_cast<int>(OthersNow(server.reported, now));
   return std::max(1, server.slots - others);
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -109,8 +109,8 @@
   DataCentreId own_data_centre;
   /** Taken out by an operator, apart from what the version says. */
   std::set<DataCentreId> data_centres_out;
-  /** Instances of the own data centre, which share what a server bears. */
-  int near_instances = 1;
+  /** Instances of each data centre, which share what its servers bear. */
+  std::map<DataCentreId, int> instances_of;
   /** Instances of the fleet. */
   int instances = 1;
   uint64_t last_ticket = 0;
@@ -191,6 +191,8 @@
                                const DataCentreId& data_centre,
                                bool out,
                                TimePoint now);
+void NoteInstances(ServerPool& pool,
+                   const std::map<DataCentreId, int>& instances_of);
 std::map<DataCentreId, double> CapacityOf(
     const ServerPool& pool,
     const std::vector<ServiceId>& services,
--- a/src/process/servers/server_table.cc
+++ b/src/process/servers/server_table.cc
@@ -38,10 +38,10 @@
   return CapacityOf(table.pool, services, now);
 }
 
-void NoteInstances(ServerTable& table, int near, int all) {
+void NoteInstances(ServerTable& table,
+                   const std::map<DataCentreId, int>& instances_of) {
   OrderedLock lock(table.mutex);
-  table.pool.near_instances = std::max(1, near);
-  table.pool.instances = std::max(1, all);
+  NoteInstances(table.pool, instances_of);
 }
 
 ServerReply AcquireServer(ServerTable& table,
--- a/src/process/servers/server_table.h
+++ b/src/process/servers/server_table.h
@@ -47,7 +47,8 @@
     TimePoint now);
 
 /** Notes how many instances share what the servers bear. */
-void NoteInstances(ServerTable& table, int near, int all);
+void NoteInstances(ServerTable& table,
+                   const std::map<DataCentreId, int>& instances_of);
 
 /**
  * Reserves a server. `done` is called later if and only if the reply says
