Place requests by what servers state at that moment

Cause: a quarter to a third of the servers take five times as long for some 150 ms at a time, and work that starts then is late to its end (a trial that probed all servers of a data centre every 15 ms: usual speed for 570 ms on average, then 5 times as slow for 203 ms; 24 ms of work took 104 ms, 150 ms took 551 ms). Requests were placed by statements on answers that were too old, so as many were late as there were slowed servers.

Ruled out: hedges (a quarter of the requests would need one, the budget of repeats is a fifth); probes on a schedule (a statement is worth something for a few milliseconds only, so most would be wasted); waiting at the server (what starts later starts at whatever speed there is then).

Now a request waits at the instance until a server is known, from at most 4 ms ago, to be free and at usual speed. Who waits asks one server, of its own data centre first. A slowed server is taken if it is quick enough for the target, or at the last moment before the deadline; another data centre is asked when only 40 ms are left, or none is near. The last slots stay free where they cost more than they bring, as the answers show. Servers that do not state their load are chosen as before.

Tests that failed first: DiscoveredServersTest.SlowedServerIsTheLastResort, StatementsOfLoadCount, SilentServerIsLeftAlone, LastSlotIsLeftFreeWhereItCostsMore.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -21,6 +21,7 @@
 #include "process/peers/io/peer_hub.h"
 #include "process/registry/feed.h"
 #include "process/servers/attempt_table.h"
+#include "process/servers/io/load_prober.h"
 #include "process/status/io/admin_server.h"
 #include "process/system_clock.h"
 #include "process/tables.h"
@@ -121,6 +122,7 @@
   RegistryApplier applier_;
   TcpBackendTransport transport_;
   BackendPool backends_;
+  LoadProber prober_;
   CallerListener listener_;
   AdminServer admin_;
   PageServer directory_;
@@ -149,11 +151,20 @@
            HubCallbacks(),
            clock_,
            tables_.counters),
-      actions_(hub_, [](const ChosenServer&) {}),
+      actions_(hub_,
+               [this](const ChosenServer& server) { prober_.Probe(server); }),
       store_(platform.open_store(pool_.context(), settings.fleet->store)),
       applier_(tables_, clock_, actions_, settings.self, platform.decode),
       transport_(pool_.context()),
       backends_(transport_, clock_, tables_.counters),
+      prober_(pool_.context(),
+              backends_,
+              tables_.counters,
+              platform.names,
+              [this](const BackendServerId& server, const ProbeResult& result) {
+                actions_.Run(HandleProbeResult(tables_.servers, server, result,
+                                               clock_.Now()));
+              }),
       listener_(pool_.context(),
                 settings.self.caller_endpoint,
                 SessionContext{tables_, clock_, actions_, backends_, attempts_,
@@ -200,6 +211,10 @@
     OrderedLock lock(tables_.usage.mutex);
     tables_.usage.book.tolerance = settings.fleet->tolerance;
   }
+  {
+    OrderedLock lock(tables_.servers.mutex);
+    tables_.servers.pool.probes_per_s = settings.fleet->probes_per_s;
+  }
   OrderedLock lock(attempts_.mutex);
   attempts_.policy = settings.fleet->retries;
 }
--- a/src/process/io/settings.cc
+++ b/src/process/io/settings.cc
@@ -122,6 +122,8 @@
               fleet->weight);
   ReadTolerance(object, fleet->tolerance);
   ReadRetries(object, fleet->retries);
+  ReadNumber(object, "probes_per_s", Presence::kOptional, kProbeBudgetRange,
+             fleet->probes_per_s);
   ReadMilliseconds(object, "stop_grace_ms", kWindowRangeMs, fleet->stop_grace);
   ReadMilliseconds(object, "address_keep_ms", kAddressKeepRangeMs,
                    fleet->address_keep);
--- a/src/process/io/settings.h
+++ b/src/process/io/settings.h
@@ -30,6 +30,8 @@
   UsageTolerance tolerance;
   /** Repeats that the fleet may make, as a part of its requests. */
   RetryPolicy retries;
+  /** Probes that one server bears, from all instances. */
+  double probes_per_s = 10;
   /** Time from the signal to stop until the process is killed. */
   std::chrono::milliseconds stop_grace{10000};
   /** How long a caller may keep the answer to "which address". */
--- /dev/null
+++ b/src/process/servers/io/load_prober.cc
@@ -0,0 +1,181 @@
+#include "process/servers/io/load_prober.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "request/deadline.h"
+
+namespace mangodoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+// A request that waits for the answer could as well wait for a slot.
+constexpr std::chrono::milliseconds kProbeLimit{150};
+
+constexpr uint64_t kMaxProbeBody = 4096;
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/** One probe. All handlers run on one strand, which keeps it alive. */
+class ProbeRun : public std::enable_shared_from_this<ProbeRun> {
+ public:
+  ProbeRun(asio::io_context& io,
+           BackendPool& pool,
+           const CallNames& names,
+           ChosenServer server,
+           LoadProber::Done done)
+      : strand_(asio::make_strand(io)),
+        timer_(strand_),
+        pool_(pool),
+        names_(names),
+        server_(std::move(server)),
+        done_(std::move(done)) {}
+
+  void Start() {
+    asio::dispatch(strand_, [self = shared_from_this()] { self->Connect(); });
+  }
+
+ private:
+  void Connect() {
+    timer_.expires_after(kProbeLimit);
+    timer_.async_wait([self = shared_from_this()](const ErrorCode& error) {
+      if (!error)
+        self->GiveUp();
+    });
+    if (BackendConnectionPtr idle = pool_.TakeIdle(server_))
+      return Ask(std::move(idle));
+    ticket_ = pool_.Open(
+        server_, [self = shared_from_this()](const ErrorCode& error,
+                                             BackendConnectionPtr connection) {
+          asio::dispatch(self->strand_,
+                         [self, error, connection = std::move(connection)] {
+                           self->HandleOpen(error, connection);
+                         });
+        });
+  }
+
+  void HandleOpen(const ErrorCode& error, BackendConnectionPtr connection) {
+    ticket_.reset();
+    if (ended_) {
+      if (connection)
+        pool_.Return(std::move(connection));
+      return;
+    }
+    if (!connection) {
+      result_.refused = error != asio::error::operation_aborted;
+      return End(false);
+    }
+    Ask(std::move(connection));
+  }
+
+  void Ask(BackendConnectionPtr connection) {
+    connection_ = std::move(connection);
+    text_ = "GET " + server_.health_path +
+            " HTTP/1.1\r\nHost: " + ToString(server_.endpoint) + "\r\n\r\n";
+    parser_.body_limit(kMaxProbeBody);
+    asio::async_write(
+        *connection_->socket, asio::buffer(text_),
+        asio::bind_executor(strand_, [self = shared_from_this()](
+                                         const ErrorCode& error, size_t) {
+          if (error)
+            return self->End(false);
+          self->Read();
+        }));
+  }
+
+  void Read() {
+    http::async_read(
+        *connection_->socket, connection_->buffer, parser_,
+        asio::bind_executor(strand_, [self = shared_from_this()](
+                                         const ErrorCode& error, size_t) {
+          if (error)
+            return self->End(false);
+          self->Judge();
+        }));
+  }
+
+  void Judge() {
+    const auto& answer = parser_.get();
+    result_.answered = true;
+    result_.healthy = answer.result() == http::status::ok;
+    result_.statement = names_.parse_load(View(answer[names_.load])).statement;
+    if (!names_.server_id.empty()) {
+      const auto id = answer[names_.server_id];
+      result_.other_server = !id.empty() && View(id) != server_.server.value();
+    }
+    if (!names_.cold_time.empty()) {
+      if (const auto cold = ParseMilliseconds(View(answer[names_.cold_time])))
+        result_.cold_remaining = *cold;
+    }
+    End(answer.keep_alive());
+  }
+
+  void GiveUp() {
+    if (ended_)
+      return;
+    if (ticket_)
+      pool_.CancelOpen(server_, *ticket_);
+    End(false);
+  }
+
+  void End(bool keep) {
+    if (std::exchange(ended_, true))
+      return;
+    timer_.cancel();
+    // The pointer stays: an operation that was cut off still refers to it.
+    if (connection_ && keep)
+      pool_.Return(connection_);
+    else if (connection_)
+      pool_.Discard(connection_);
+    done_(server_.server, result_);
+  }
+
+  Strand strand_;
+  StrandTimer timer_;
+  BackendPool& pool_;
+  const CallNames& names_;
+  const ChosenServer server_;
+  const LoadProber::Done done_;
+  std::optional<uint64_t> ticket_;
+  BackendConnectionPtr connection_;
+  std::string text_;
+  http::response_parser<http::string_body> parser_;
+  ProbeResult result_;
+  bool ended_ = false;
+};
+
+}  // namespace
+
+LoadProber::LoadProber(asio::io_context& io,
+                       BackendPool& pool,
+                       Counters& counters,
+                       const CallNames& names,
+                       Done done)
+    : io_(io),
+      pool_(pool),
+      counters_(counters),
+      names_(names),
+      done_(std::move(done)) {}
+
+void LoadProber::Probe(const ChosenServer& server) {
+  ++counters_.probes;
+  std::make_shared<ProbeRun>(io_, pool_, names_, server, done_)->Start();
+}
+
+}  // namespace mangodoor
--- /dev/null
+++ b/src/process/servers/io/load_prober.h
@@ -0,0 +1,43 @@
+#ifndef PROCESS_SERVERS_IO_LOAD_PROBER_H_
+#define PROCESS_SERVERS_IO_LOAD_PROBER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "connection/io/backend_pool.h"
+#include "process/counters.h"
+#include "process/servers/server_request.h"
+#include "request/call_names.h"
+
+namespace mangodoor {
+
+/**
+ * Asks backend servers for their load, over the connections that requests use
+ * too. All functions may be called on any thread.
+ */
+class LoadProber {
+ public:
+  /** Called once for each probe, on a worker thread. */
+  using Done = std::function<void(const BackendServerId&, const ProbeResult&)>;
+
+  /** `pool`, `counters` and `names` outlive the threads of `io`. */
+  LoadProber(boost::asio::io_context& io,
+             BackendPool& pool,
+             Counters& counters,
+             const CallNames& names,
+             Done done);
+
+  void Probe(const ChosenServer& server);
+
+ private:
+  boost::asio::io_context& io_;
+  BackendPool& pool_;
+  Counters& counters_;
+  const CallNames& names_;
+  Done done_;
+};
+
+}  // namespace mangodoor
+
+#endif  // PROCESS_SERVERS_IO_LOAD_PROBER_H_
--- a/src/process/servers/server_choice.cc
+++ b/src/process/servers/server_choice.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "process/servers/placement.h"
 #include "process/servers/server_pool.h"
 
 namespace mangodoor {
@@ -103,12 +104,6 @@
   return best;
 }
 
-void Reserve(ServerEntry& server, TimePoint now) {
-  NoteSent(server.cold, now);
-  ++server.outstanding;
-  server.starts.push_back(now);
-}
-
 bool HasUsableServer(const ServiceEntry& service,
                      const ServerWish& wish,
                      TimePoint now) {
@@ -161,6 +156,41 @@
     Decide(pool, waiter, ErrorKind::kNoServer);
 }
 
+/** What was decided on the ticket at once, if anything was. */
+std::optional<std::variant<ChosenServer, ErrorKind>> TakeDecision(
+    ServerPool& pool,
+    uint64_t ticket) {
+  for (auto it = pool.decided.begin(); it != pool.decided.end(); ++it) {
+    if (it->ticket != ticket)
+      continue;
+    auto decision = std::move(it->decision);
+    pool.decided.erase(it);
+    return decision;
+  }
+  return std::nullopt;
+}
+
+ServerReply AcquirePlaced(ServerPool& pool,
+                          ServiceEntry& service,
+                          Waiter waiter,
+                          TimePoint now) {
+  const uint64_t ticket = waiter.ticket;
+  if (!EnqueuePlaced(pool, service, std::move(waiter), now))
+    return Refuse(ErrorKind::kQueueFull);
+  PlaceWaiting(pool, service, now);
+  ServerReply reply;
+  reply.ticket = ticket;
+  reply.state = ServerReply::State::kWaiting;
+  if (auto decision = TakeDecision(pool, ticket)) {
+    if (const auto* error = std::get_if<ErrorKind>(&*decision))
+      return Refuse(*error);
+    reply.state = ServerReply::State::kChosen;
+    reply.chosen = std::get<ChosenServer>(std::move(*decision));
+  }
+  TakeDecisions(pool, reply.actions);
+  return reply;
+}
+
 }  // namespace
 
 ServerEntry* ReserveServer(const ServerPool& pool,
@@ -182,6 +212,7 @@
 }
 
 void ServeQueue(ServerPool& pool, ServiceEntry& service, TimePoint now) {
+  PlaceWaiting(pool, service, now);
   if (service.queue.size == 0)
     return;
   EndWaits(pool, service, now);
@@ -204,6 +235,10 @@
   ServiceEntry* service = FindService(pool, wish.service);
   if (!service || !HasUsableServer(*service, wish, now))
     return Refuse(ErrorKind::kNoServer);
+  if (IsPlaced(*service))
+    return AcquirePlaced(pool, *service,
+                         {++pool.last_ticket, wish, random, std::move(done)},
+                         now);
   if (wish.deadline <= now + ExpectedWait(*service))
     return Refuse(ErrorKind::kDeadlineExceeded);
   // A request never overtakes those that wait already.
@@ -227,7 +262,10 @@
                                  return decision.ticket == ticket;
                                }),
                 decided.end());
-  if (ServiceEntry* entry = FindService(pool, service))
+  ServiceEntry* entry = FindService(pool, service);
+  if (entry)
+    CancelPlaced(*entry, ticket);
+  if (entry)
     RemoveIf(entry->queue, [ticket](const Waiter& waiter) {
       return waiter.ticket == ticket;
     });
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -153,6 +153,7 @@
   service.discovered = true;
   service.cold_rate_per_s = document.cold_rate_per_s;
   service.connection_limit = document.connection_limit;
+  service.health_path = document.health_path;
   service.servers.clear();
   for (auto& [id, entry] : pool.servers) {
     if (entry.discovered && entry.listed && entry.service == service.id)
--- a/src/process/servers/server_feedback.cc
+++ b/src/process/servers/server_feedback.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "process/servers/placement.h"
 #include "process/servers/server_pool.h"
 
 namespace mangodoor {
@@ -176,6 +177,8 @@
 }
 
 void HandleEnd(Feedback& feedback, const AttemptResult& result) {
+  if (feedback.server.discovered)
+    NoteWork(feedback.service, feedback.server, result);
   switch (result.end) {
     case End::kAnswered:
       HandleAnswer(feedback, result);
@@ -349,6 +352,13 @@
                                 TimePoint now) {
   ServerActions actions;
   ServerEntry* server = FindServer(pool, id);
+  if (server && server->discovered) {
+    NoteProbe(pool, *server, result, now);
+    if (ServiceEntry* placed = FindService(pool, server->service))
+      ServeQueue(pool, *placed, now);
+    TakeDecisions(pool, actions);
+    return actions;
+  }
   if (!server || !server->listed || !result.state)
     return actions;
   ServiceEntry& service = pool.services.at(server->service);
--- a/src/process/servers/server_pool.cc
+++ b/src/process/servers/server_pool.cc
@@ -95,21 +95,41 @@
 ChosenServer Describe(const ServerPool& pool,
                       const ServerEntry& server,
                       TimePoint now) {
-  return {server.id, server.endpoint, ConnectionShare(pool, server, now)};
+  ChosenServer chosen;
+  chosen.server = server.id;
+  chosen.endpoint = server.endpoint;
+  chosen.connection_limit = ConnectionShare(pool, server, now);
+  return chosen;
 }
 
 void Decide(ServerPool& pool,
             Waiter& waiter,
             std::variant<ChosenServer, ErrorKind> decision) {
   pool.decided.push_back(
-      {waiter.ticket, [done = std::move(waiter.done),
-                       decision = std::move(decision)] { done(decision); }});
+      {waiter.ticket, std::move(decision), std::move(waiter.done)});
+  waiter.done = nullptr;
 }
 
 void TakeDecisions(ServerPool& pool, ServerActions& actions) {
-  for (Decision& decision : pool.decided)
-    actions.callbacks.push_back(std::move(decision.callback));
+  for (Decision& decision : pool.decided) {
+    actions.callbacks.push_back(
+        [done = std::move(decision.done),
+         decided = std::move(decision.decision)] { done(decided); });
+  }
   pool.decided.clear();
+  for (ChosenServer& asked : pool.asked)
+    actions.probes.push_back(std::move(asked));
+  pool.asked.clear();
+}
+
+void Reserve(ServerEntry& server, TimePoint now) {
+  NoteSent(server.cold, now);
+  ++server.outstanding;
+  server.starts.push_back(now);
+}
+
+bool IsPlaced(const ServiceEntry& service) {
+  return service.discovered && service.states_load.value_or(true);
 }
 
 std::optional<Duration> HedgeDelay(const ServerPool& pool,
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -19,6 +19,7 @@
 #include "process/servers/server_request.h"
 #include "process/servers/server_score.h"
 #include "process/servers/share_history.h"
+#include "process/servers/work_model.h"
 #include "process/status/status.h"
 #include "version/version.h"
 
@@ -74,6 +75,15 @@
   bool draining_record = false;
   ColdWindow cold;
   ReportedLoad reported;
+  /** A probe is under way. */
+  bool probing = false;
+  /** Probes that this instance may send. */
+  double probe_tokens = 1;
+  TimePoint probes_refilled{};
+  /** It did not answer a probe; nothing is sent before this. */
+  TimePoint silent_until{};
+  /** Probes in a row without an answer. */
+  int silences = 0;
 };
 
 /** What this instance knows of one service. */
@@ -93,12 +103,19 @@
   bool discovered = false;
   double cold_rate_per_s = 0;
   int connection_limit = 1;
+  std::string health_path;
+  /** Whether its servers state their load; no value until one was asked. */
+  std::optional<bool> states_load;
+  WorkModel work;
+  /** Requests that wait for a server that states its load. */
+  std::vector<Waiter> waiting;
 };
 
 /** A decision on a waiting request that has not been called back yet. */
 struct Decision {
   uint64_t ticket = 0;
-  std::function<void()> callback;
+  std::variant<ChosenServer, ErrorKind> decision;
+  ServerCallback done;
 };
 
 /** All services and servers, without a lock. */
@@ -116,6 +133,12 @@
   uint64_t last_ticket = 0;
   /** Decisions on waiting requests, given out with the next actions. */
   std::vector<Decision> decided;
+  /** Servers to probe, given out with the next actions. */
+  std::vector<ChosenServer> asked;
+  /** Probes that one server bears, from all instances. */
+  double probes_per_s = 0;
+  /** Requests that may wait for the servers of one service. */
+  size_t most_waiting = 256;
 };
 
 RampLimits LimitsOf(const ServiceEntry& service, const ServerEntry& server);
@@ -165,6 +188,12 @@
                       const ServerEntry& server,
                       TimePoint now);
 
+/** Counts a request as sent to the server. */
+void Reserve(ServerEntry& server, TimePoint now);
+
+/** True if requests for the service wait until a server is known to be good. */
+bool IsPlaced(const ServiceEntry& service);
+
 /** Gives free servers to waiting requests, and ends hopeless waits. */
 void ServeQueue(ServerPool& pool, ServiceEntry& service, TimePoint now);
 
--- a/src/process/servers/server_request.h
+++ b/src/process/servers/server_request.h
@@ -10,6 +10,7 @@
 #include "process/error_kind.h"
 #include "process/servers/reported_load.h"
 #include "process/servers/server_state.h"
+#include "process/servers/work_model.h"
 #include "version/endpoint.h"
 #include "version/ids.h"
 
@@ -21,6 +22,9 @@
   Endpoint endpoint;
   /** Connections that this instance may hold to the server. */
   int connection_limit = 1;
+  std::string health_path = "/health";
+  /** What the choice was based on. */
+  PlacementNote note = {};
 };
 
 /** Decision on a waiting request. Called once, with no lock held. */
@@ -43,6 +47,10 @@
   TimePoint deadline;
   /** Servers that this request has already tried. */
   std::vector<BackendServerId> tried;
+  /** An answer by then has its full value. */
+  TimePoint target_at = TimePoint::max();
+  /** 0 goes first. */
+  int priority = 0;
 };
 
 struct ServerReply {
@@ -52,6 +60,8 @@
   ErrorKind error = ErrorKind::kNoServer;
   /** Names a waiting request, for CancelWait. */
   uint64_t ticket = 0;
+  /** To be carried out by the caller, whatever the state. */
+  ServerActions actions;
 };
 
 /** How an attempt at a server ended. */
@@ -81,12 +91,25 @@
   std::optional<bool> reported_cold;
   /** What the server said of its load beside the above. */
   std::optional<LoadStatement> statement;
+  /** As it was when the server was chosen. */
+  PlacementNote note;
 };
 
 /** Answer of a health probe; no value means that none came. */
 struct ProbeResult {
   std::optional<ServerState> state;
   int in_flight = -1;
+
+  // The fields below are of servers that register themselves.
+
+  bool answered = false;
+  bool healthy = false;
+  /** No connection could be made. */
+  bool refused = false;
+  /** The address is another server's now. */
+  bool other_server = false;
+  std::optional<LoadStatement> statement;
+  std::optional<Duration> cold_remaining;
 };
 
 }  // namespace mangodoor
--- a/src/process/servers/server_version.cc
+++ b/src/process/servers/server_version.cc
@@ -114,6 +114,8 @@
     for (Waiter& waiter :
          RemoveIf(it->second.queue, [](const Waiter&) { return true; }))
       Decide(pool, waiter, ErrorKind::kNoServer);
+    for (Waiter& waiter : it->second.waiting)
+      Decide(pool, waiter, ErrorKind::kNoServer);
     it = pool.services.erase(it);
   }
 }
--- /dev/null
+++ b/src/process/servers/work_model.h
@@ -0,0 +1,41 @@
+#ifndef PROCESS_SERVERS_WORK_MODEL_H_
+#define PROCESS_SERVERS_WORK_MODEL_H_
+
+#include "process/clock.h"
+
+namespace mangodoor {
+
+/** What was known of a server when a request was placed there. */
+struct PlacementNote {
+  /** False if the server had not stated its load. */
+  bool known = false;
+  /** How long work took there, relative to usual. */
+  double slowness = 1;
+  /** The request took one of the last slots. */
+  bool near_full = false;
+};
+
+/** How long the requests of a service take. */
+struct WorkModel {
+  /** At a server of usual speed that is not nearly full; 0 if unknown. */
+  Duration work{};
+  /** How much longer a request takes that makes a server nearly full. */
+  double near_full_factor = 1;
+};
+
+/** Takes over the latency of an answered request. */
+void NoteLatency(WorkModel& model, const PlacementNote& note, Duration latency);
+
+/** True if one more request beside `there` others makes a server nearly full.
+ */
+bool IsNearFull(int there, int slots);
+
+/**
+ * Requests at once that a server does the most work with: some slow down when
+ * they are nearly full, so that the last slots cost more than they bring.
+ */
+int BestConcurrency(const WorkModel& model, int slots);
+
+}  // namespace mangodoor
+
+#endif  // PROCESS_SERVERS_WORK_MODEL_H_
--- a/src/request/authorisation.cc
+++ b/src/request/authorisation.cc
@@ -36,6 +36,12 @@
   return result;
 }
 
+int PriorityOf(const Authorisation& authorisation) {
+  const ClientAccount* account = authorisation.client_account;
+  return account && account->priority ? *account->priority
+                                      : authorisation.route->priority;
+}
+
 ServiceId PickService(const Route& route, uint64_t random) {
   if (route.split.empty())
     return route.service;
--- a/src/request/authorisation.h
+++ b/src/request/authorisation.h
@@ -28,6 +28,9 @@
                         std::string_view path,
                         const std::string& key_digest);
 
+/** The account's priority, or else the route's; 0 goes first. */
+int PriorityOf(const Authorisation& authorisation);
+
 /** The service that runs a request of the route; `random` is uniform. */
 ServiceId PickService(const Route& route, uint64_t random);
 
--- a/src/request/call_names.h
+++ b/src/request/call_names.h
@@ -28,6 +28,10 @@
   /** On an answer: the load of the server, read by `parse_load`. */
   std::string load = "endpoint-load-metrics";
   LoadMetrics (*parse_load)(std::string_view) = ParseLoadMetrics;
+  /** On the answer to a probe: the id of the server. */
+  std::string server_id;
+  /** On the answer to a probe: milliseconds that the server stays cold. */
+  std::string cold_time;
   /** On a request, and repeated on its answer. */
   std::string request_id;
   /** On every answer that a server's program made. */
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -65,7 +65,10 @@
   return {
       request_.service,
       allowed.client_account ? allowed.client_account->id : ClientAccountId(),
-      request_.deadline, tried_};
+      request_.deadline,
+      tried_,
+      request_.target_at,
+      request_.priority};
 }
 
 AttemptRace::Choice AttemptRace::ChooseServer(YieldContext yield) {
@@ -75,6 +78,7 @@
   const ServerReply reply = AcquireServer(
       context_.tables.servers, Wish(), context_.clock.Now(), context_.random(),
       [delivery](Choice choice) { delivery->Deliver(std::move(choice)); });
+  context_.actions.Run(reply.actions);
   if (reply.state == ServerReply::State::kChosen)
     return reply.chosen;
   if (reply.state == ServerReply::State::kRefused)
@@ -129,6 +133,7 @@
   const ServerReply reply = AcquireServer(
       context_.tables.servers, wish, context_.clock.Now(), context_.random(),
       [delivery](Choice choice) { delivery->Deliver(std::move(choice)); });
+  context_.actions.Run(reply.actions);
   if (reply.state == ServerReply::State::kWaiting) {
     // A hedge that would have to wait adds to a queue that is too long.
     delivery->Abandon();
--- a/src/request/io/attempt_run.cc
+++ b/src/request/io/attempt_run.cc
@@ -313,6 +313,7 @@
   }
   connection_ = nullptr;
   result_.end = end;
+  result_.note = server_.note;
   context_.actions.Run(ReleaseServer(context_.tables.servers, server_.server,
                                      result_, context_.clock.Now()));
 }
--- a/src/request/io/outgoing_request.h
+++ b/src/request/io/outgoing_request.h
@@ -23,6 +23,9 @@
   /** Empty if the interface has none. */
   std::string id;
   TimePoint deadline;
+  /** An answer by then has its full value. */
+  TimePoint target_at = TimePoint::max();
+  int priority = 0;
   RequestTraits traits;
   bool is_head = false;
   /** The head without the time limit and the empty line. */
--- a/src/request/io/request_run.cc
+++ b/src/request/io/request_run.cc
@@ -141,6 +141,9 @@
   request_.deadline = DeadlineFor(
       route, asked.empty() ? std::nullopt : ParseMilliseconds(View(asked)),
       Now());
+  if (route.target_latency > std::chrono::milliseconds::zero())
+    request_.target_at = Now() + route.target_latency;
+  request_.priority = PriorityOf(request_.authorisation);
   request_.service = PickService(route, context_.random());
   request_.traits.max_attempts = route.max_attempts;
   request_.traits.idempotent =
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -119,6 +119,7 @@
         {"BudgetWindowS", 10},
         {"BudgetSlack", 58},
         {"GraceS", 6},
+        {"ProbesPerS", 60},
         {"FailClosed", false}}}};
 }
 
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -40,6 +40,7 @@
     document.services = {service};
     ApplyVersion(pool_, *MakeVersion(document, "", ""), {}, here, now_);
     NoteInstances(pool_, {{here, 3}, {there, 4}});
+    pool_.probes_per_s = 1000;
   }
 
   void Apply(const std::vector<ServerRecord>& records,
@@ -47,15 +48,49 @@
     ApplyRecords(pool_, records, gone, now_);
   }
 
-  /** The server chosen for a request, or an empty id. */
-  BackendServerId Choose() {
-    const ServerReply reply =
-        AcquireServer(pool_, {work, ClientAccountId(), now_ + seconds(1), {}},
-                      now_, ++random_, [](auto) {});
-    if (reply.state == ServerReply::State::kWaiting)
+  /** The server chosen for a request, or an empty id; probes are answered. */
+  BackendServerId Choose(ServerWish wish = {}) {
+    wish.service = work;
+    if (wish.deadline == TimePoint())
+      wish.deadline = now_ + seconds(1);
+    std::optional<ChosenServer> chosen;
+    const auto done =
+        [&chosen](std::variant<ChosenServer, ErrorKind> decision) {
+          if (const auto* server = std::get_if<ChosenServer>(&decision))
+            chosen = *server;
+        };
+    const ServerReply reply = AcquireServer(pool_, wish, now_, ++random_, done);
+    if (reply.state == ServerReply::State::kChosen)
+      return reply.chosen.server;
+    if (reply.state == ServerReply::State::kRefused)
+      return BackendServerId();
+    Run(reply.actions);
+    if (!chosen) {
       CancelWait(pool_, work, reply.ticket);
-    return reply.state == ServerReply::State::kChosen ? reply.chosen.server
-                                                      : BackendServerId();
+      return BackendServerId();
+    }
+    connection_limit_ = chosen->connection_limit;
+    return chosen->server;
+  }
+
+  /** Answers probes as the servers stand, and calls back. */
+  void Run(const ServerActions& actions) {
+    for (const auto& callback : actions.callbacks)
+      callback();
+    for (const ChosenServer& probed : actions.probes) {
+      ++probes_;
+      ProbeResult result;
+      const auto statement = statements_.find(probed.server);
+      result.answered = silent_.count(probed.server) == 0;
+      if (states_load_) {
+        result.statement =
+            statement == statements_.end()
+                ? LoadStatement{FindServer(pool_, probed.server)->outstanding,
+                                0, 3, 1}
+                : statement->second;
+      }
+      Run(HandleProbeResult(pool_, probed.server, result, now_));
+    }
   }
 
   void Answer(const BackendServerId& server,
@@ -70,6 +105,12 @@
   ServerPool pool_;
   TimePoint now_ = kStart;
   uint64_t random_ = 0;
+  int probes_ = 0;
+  int connection_limit_ = 0;
+  bool states_load_ = true;
+  /** What servers state; the others state what this instance has there. */
+  std::map<BackendServerId, LoadStatement> statements_;
+  std::set<BackendServerId> silent_;
 };
 
 // Guards against work for a server that leaves, is gone, or is in a data
@@ -109,17 +150,11 @@
 // old id.
 TEST_F(DiscoveredServersTest, NewLifetimeStartsAnew) {
   Apply({Record(1, here), Record(2, here)});
-  for (int i = 0; i < 20; ++i) {
-    const BackendServerId chosen = Choose();
-    if (chosen.value() != "i1") {
-      Answer(chosen);
-      continue;
-    }
-    AttemptResult broken;
-    broken.end = AttemptResult::End::kConnectFailed;
-    ReleaseServer(pool_, chosen, broken, now_);
-    break;
-  }
+  statements_[BackendServerId("i2")] = {3, 0, 3, 1};
+  ASSERT_EQ(Choose().value(), "i1");
+  AttemptResult broken;
+  broken.end = AttemptResult::End::kConnectFailed;
+  ReleaseServer(pool_, BackendServerId("i1"), broken, now_);
   const ServerEntry* entry = FindServer(pool_, BackendServerId("i1"));
   ASSERT_TRUE(IsEjected(entry->ejection));
   ServerRecord again = Record(1, here);
@@ -140,17 +175,96 @@
 // for one that others keep busy.
 TEST_F(DiscoveredServersTest, StatementsOfLoadCount) {
   Apply({Record(1, here), Record(2, here), Record(3, here)});
-  std::set<std::string> seen;
-  while (seen.size() < 3) {
+  statements_[BackendServerId("i1")] = {1, 0, 3, 5};
+  statements_[BackendServerId("i2")] = {3, 4, 3, 1};
+  for (int i = 0; i < 2; ++i) {
+    now_ += seconds(1);
+    EXPECT_EQ(Choose().value(), "i3");
+  }
+}
+
+// Guards against a request that goes to a slowed server though it would be
+// late there and another one may be free in time, and against one that waits
+// for a good server until it has missed its deadline.
+TEST_F(DiscoveredServersTest, SlowedServerIsTheLastResort) {
+  Apply({Record(1, here)});
+  NoteLatency(FindService(pool_, work)->work, {true, 1, false},
+              milliseconds(20));
+  // Work takes 20 ms, there 100 ms.
+  statements_[BackendServerId("i1")] = {0, 0, 3, 5};
+  now_ += seconds(1);
+  ServerWish wish;
+  wish.target_at = now_ + milliseconds(90);
+  wish.deadline = now_ + milliseconds(400);
+  EXPECT_TRUE(Choose(wish).empty());
+  wish.target_at = now_ + milliseconds(200);
+  now_ += milliseconds(30);
+  EXPECT_EQ(Choose(wish).value(), "i1");
+  Answer(BackendServerId("i1"));
+  now_ += seconds(1);
+  wish.target_at = now_ - milliseconds(10);
+  wish.deadline = now_ + milliseconds(120);
+  EXPECT_EQ(Choose(wish).value(), "i1");
+}
+
+// Guards against a silent server that every request waits for.
+TEST_F(DiscoveredServersTest, SilentServerIsLeftAlone) {
+  Apply({Record(1, here), Record(2, here)});
+  silent_ = {BackendServerId("i1")};
+  for (int i = 0; i < 20; ++i) {
+    now_ += milliseconds(10);
     const BackendServerId chosen = Choose();
-    ASSERT_FALSE(chosen.empty());
-    seen.insert(chosen.value());
+    EXPECT_EQ(chosen.value(), "i2");
+    Answer(chosen);
   }
-  Answer(BackendServerId("i1"), LoadStatement{1, 0, 3, 5});
-  Answer(BackendServerId("i2"), LoadStatement{3, 4, 3, 1});
-  Answer(BackendServerId("i3"), LoadStatement{0, 0, 3, 1});
-  EXPECT_EQ(Choose().value(), "i3");
-  EXPECT_EQ(Choose().value(), "i3");
+  silent_.clear();
+  now_ += seconds(10);
+  std::set<std::string> seen;
+  for (int i = 0; i < 20; ++i) {
+    now_ += milliseconds(10);
+    seen.insert(Choose().value());
+  }
+  EXPECT_EQ(seen.count("i1"), 1U);
+}
+
+// Guards against a service that gets no work because its servers do not state
+// their load.
+TEST_F(DiscoveredServersTest, ServersWithoutStatementsAreUsed) {
+  states_load_ = false;
+  Apply({Record(1, here), Record(2, here)});
+  Choose();
+  for (int i = 0; i < 4; ++i)
+    EXPECT_FALSE(Choose().empty());
+}
+
+// Guards against probes beyond what servers bear from all instances.
+TEST_F(DiscoveredServersTest, ProbesStayWithinTheBudget) {
+  pool_.probes_per_s = 30;
+  Apply({Record(1, here)});
+  statements_[BackendServerId("i1")] = {3, 5, 3, 1};
+  for (int i = 0; i < 2000; ++i) {
+    now_ += milliseconds(5);
+    Choose();
+  }
+  // Three instances share 30 a second for 10 s; some are saved up.
+  EXPECT_LE(probes_, 10 * 10 + 21);
+  EXPECT_GE(probes_, 50);
+}
+
+// Guards against the last slot of servers that slow down when nearly full, by
+// which all of them together do less work.
+TEST_F(DiscoveredServersTest, LastSlotIsLeftFreeWhereItCostsMore) {
+  Apply({Record(1, here)});
+  ServiceEntry* service = FindService(pool_, work);
+  EXPECT_EQ(BestConcurrency(service->work, 3), 3);
+  for (int i = 0; i < 40; ++i) {
+    NoteLatency(service->work, {true, 1, false}, milliseconds(60));
+    NoteLatency(service->work, {true, 1, true}, milliseconds(102));
+  }
+  EXPECT_EQ(BestConcurrency(service->work, 3), 2);
+  EXPECT_FALSE(Choose().empty());
+  EXPECT_FALSE(Choose().empty());
+  EXPECT_TRUE(Choose().empty());
 }
 
 // Guards against a cold server that gets more than it bears from all instances
@@ -205,11 +319,8 @@
 // Guards against connections beyond what a server accepts from the fleet.
 TEST_F(DiscoveredServersTest, ConnectionsAreShared) {
   Apply({Record(1, here)});
-  const ServerReply reply =
-      AcquireServer(pool_, {work, ClientAccountId(), now_ + seconds(1), {}},
-                    now_, 1, [](auto) {});
-  ASSERT_EQ(reply.state, ServerReply::State::kChosen);
-  EXPECT_EQ(reply.chosen.connection_limit, 220 / 7);
+  ASSERT_FALSE(Choose().empty());
+  EXPECT_EQ(connection_limit_, 220 / 7);
 }
 
 // Guards against capacity of servers that get no work, by which callers would
