Log each request on standard output, without blocking

Cause: nobody could tell from a request's id why it was late or failed: the instances wrote lines only for changes of state, on standard error, and writing to a full pipe would have blocked a worker.

Ruled out: a line per decision inside an attempt. One line at the end of the request names the inputs of each decision (server, what it stated and how old that was, waiting, admission, deadline, target, document version) and keeps the volume at one line a request.

Lines go to standard output; a line that the pipe doesn't take is dropped and counted in lines_dropped of the next one.

--- a/src/connection/io/session_context.h
+++ b/src/connection/io/session_context.h
@@ -10,6 +10,7 @@
 class ActionRunner;
 class BackendPool;
 class Clock;
+class RequestLog;
 class TokenLender;
 struct AttemptTable;
 struct Tables;
@@ -23,6 +24,8 @@
   AttemptTable& attempts;
   TimeLimits limits{};
   const CallNames& names = OwnCallNames();
+  /** Null if requests are not logged. */
+  RequestLog* request_log = nullptr;
   /** Null if there is nobody to ask. */
   TokenLender* lender = nullptr;
   /** Uniform over all 64-bit values; may be called on any thread. */
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -29,6 +29,7 @@
 #include "process/system_clock.h"
 #include "process/tables.h"
 #include "process/worker_pool.h"
+#include "request/io/request_log.h"
 
 namespace mangodoor {
 namespace {
@@ -126,6 +127,7 @@
   Feed feed_;
   AttemptTable attempts_;
   TokenAsks token_asks_;
+  RequestLog request_log_{clock_};
   WorkerPool pool_;
   PeerHub hub_;
   ActionRunner actions_;
@@ -176,10 +178,11 @@
                 actions_.Run(HandleProbeResult(tables_.servers, server, result,
                                                clock_.Now()));
               }),
-      listener_(pool_.context(),
-                settings.self.caller_endpoint,
-                SessionContext{tables_, clock_, actions_, backends_, attempts_,
-                               TimeLimits{}, platform_.names, this}),
+      listener_(
+          pool_.context(),
+          settings.self.caller_endpoint,
+          SessionContext{tables_, clock_, actions_, backends_, attempts_,
+                         TimeLimits{}, platform_.names, &request_log_, this}),
       admin_(tables_, clock_, pool_.context(), settings.admin_endpoint),
       directory_(
           pool_.context(),
--- a/src/process/io/instance_process.cc
+++ b/src/process/io/instance_process.cc
@@ -24,6 +24,7 @@
 #include "process/versions/io/document_source.h"
 #include "process/versions/io/spread_runner.h"
 #include "process/worker_pool.h"
+#include "request/io/request_log.h"
 
 namespace mangodoor {
 namespace {
@@ -63,6 +64,7 @@
   SystemClock clock_;
   Tables tables_;
   AttemptTable attempts_;
+  RequestLog request_log_{clock_};
   WorkerPool pool_;
   PeerHub hub_;
   Prober prober_;
@@ -117,10 +119,10 @@
            [] { Log(LogLevel::kInfo, "in_service"); }}),
       transport_(pool_.context()),
       backends_(transport_, clock_, tables_.counters),
-      listener_(
-          pool_.context(),
-          settings.self.caller_endpoint,
-          SessionContext{tables_, clock_, actions_, backends_, attempts_}),
+      listener_(pool_.context(),
+                settings.self.caller_endpoint,
+                SessionContext{tables_, clock_, actions_, backends_, attempts_,
+                               TimeLimits{}, OwnCallNames(), &request_log_}),
       admin_(tables_, clock_, pool_.context(), settings.admin_endpoint),
       table_ticker_(pool_.context(), kTableTick, [this] { TickTables(); }),
       spread_ticker_(pool_.context(), kSpreadTick, [this] { TickSpread(); }),
--- a/src/process/io/log.cc
+++ b/src/process/io/log.cc
@@ -1,8 +1,10 @@
 #include "process/io/log.h"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
-#include <cstdio>
+#include <atomic>
 #include <exception>
 #include <nlohmann/json.hpp>
 
@@ -25,15 +27,36 @@
   return "error";
 }
 
-// The library can only write to standard output by itself; standard output
-// belongs to what a program was asked to print.
-class StandardErrorSink : public el::LogDispatchCallback {
+// A pipe takes this much without blocking once it can be written to.
+constexpr size_t kMaxLineBytes = 4096;
+
+bool CanWrite() {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+// The library's own sink would block on a pipe that nobody reads.
+class StandardOutputSink : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) override {
     std::string line = data->logMessage()->message();
+    if (line.size() >= kMaxLineBytes || !CanWrite()) {
+      ++dropped_;
+      return;
+    }
+    if (const int dropped = dropped_.exchange(0); dropped > 0) {
+      // Every line is a JSON object, so it ends with a brace.
+      line.pop_back();
+      line += ",\"lines_dropped\":" + std::to_string(dropped) + "}";
+    }
     line += '\n';
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    // What does not fit is lost; the next line begins anew.
+    if (write(STDOUT_FILENO, line.data(), line.size()) < 0)
+      ++dropped_;
   }
+
+ private:
+  std::atomic<int> dropped_{0};
 };
 
 }  // namespace
@@ -53,8 +76,8 @@
   el::Loggers::reconfigureAllLoggers(configuration);
   // The default sink, which handles files and standard output, stays; it has
   // neither left to write to.
-  el::Helpers::installLogDispatchCallback<StandardErrorSink>(
-      "StandardErrorSink");
+  el::Helpers::installLogDispatchCallback<StandardOutputSink>(
+      "StandardOutputSink");
 }
 
 void Log(LogLevel level,
--- a/src/process/io/log.h
+++ b/src/process/io/log.h
@@ -36,8 +36,9 @@
 };
 
 /**
- * Sends lines of at least `minimum` to standard error. Called once, before
- * the first line.
+ * Sends lines of at least `minimum` to standard output. Called once, before
+ * the first line. A line is dropped rather than waited for if nobody reads
+ * them; `lines_dropped` of the next one that is written says how many.
  */
 void ConfigureLog(LogLevel minimum);
 
--- a/src/process/io/registry_applier.cc
+++ b/src/process/io/registry_applier.cc
@@ -31,6 +31,7 @@
       known = &item;
   }
   std::vector<const StoreItem*> ordered;
+  ordered.reserve(latest.size());
   for (const auto& [key, item] : latest)
     ordered.push_back(item);
   std::sort(ordered.begin(), ordered.end(),
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -318,7 +318,8 @@
     }
     ChosenServer chosen = Describe(pool, *server, now);
     chosen.note = {true, server->reported.slowness,
-                   IsNearFull(ThereNow(*server), server->slots)};
+                   IsNearFull(ThereNow(*server), server->slots),
+                   now - server->reported.at};
     Reserve(*server, now);
     Decide(pool, waiter, std::move(chosen));
   }
--- a/src/process/servers/work_model.h
+++ b/src/process/servers/work_model.h
@@ -13,6 +13,8 @@
   double slowness = 1;
   /** The request took one of the last slots. */
   bool near_full = false;
+  /** Age of the statement that said so. */
+  Duration age{};
 };
 
 /** How long the requests of a service take. */
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -72,6 +72,13 @@
 }
 
 AttemptRace::Choice AttemptRace::ChooseServer(YieldContext yield) {
+  const TimePoint began = context_.clock.Now();
+  const Choice choice = WaitForServer(yield);
+  waited_ = context_.clock.Now() - began;
+  return choice;
+}
+
+AttemptRace::Choice AttemptRace::WaitForServer(YieldContext yield) {
   if (interrupted_)
     return ErrorKind::kDeadlineExceeded;
   auto delivery = NewDelivery();
@@ -111,9 +118,24 @@
   if (report.end != AttemptReport::End::kConnectionLost ||
       !attempt_->connection_was_reused())
     tried_.push_back(server.server);
+  Trace(*attempt_, report, false);
   return JoinHedge(report, history, yield);
 }
 
+void AttemptRace::Trace(const AttemptRun& attempt,
+                        const AttemptReport& report,
+                        bool hedge) {
+  AttemptTrace trace;
+  trace.server = attempt.server().server;
+  trace.hedge = hedge;
+  trace.note = attempt.server().note;
+  trace.waited = hedge ? Duration::zero() : waited_;
+  trace.took = attempt.latency();
+  trace.end = report.end;
+  trace.status = attempt.status();
+  traces_.push_back(std::move(trace));
+}
+
 void AttemptRace::ArmHedge(const AttemptHistory& history) {
   if (!hedge_delay_ || !MayHedge(request_.traits, history,
                                  request_.deadline - context_.clock.Now()))
@@ -171,6 +193,7 @@
     hedge_->Abort(AttemptReport::End::kCancelled);
   while (!hedge_report_)
     hedge_ended_.Wait(yield);
+  Trace(*hedge_, *hedge_report_, true);
   AttemptReport kept = report;
   AttemptReport other = *hedge_report_;
   if (other.end == AttemptReport::End::kResponse) {
--- a/src/request/io/attempt_race.h
+++ b/src/request/io/attempt_race.h
@@ -13,6 +13,7 @@
 #include "connection/io/strand.h"
 #include "connection/io/watchdog.h"
 #include "request/io/attempt_run.h"
+#include "request/request_trace.h"
 
 namespace mangodoor {
 
@@ -55,12 +56,16 @@
   /** Ends the reported attempt without passing its response on. */
   void Release(const AttemptReport& report);
 
+  /** All attempts that have ended, for the log. */
+  const std::vector<AttemptTrace>& traces() const { return traces_; }
+
   /** Ends all attempts after an exception. */
   void Abandon(YieldContext yield);
 
  private:
   using ChoiceDelivery = Delivery<Choice>;
 
+  Choice WaitForServer(YieldContext yield);
   std::shared_ptr<ChoiceDelivery> NewDelivery();
   ServerWish Wish() const;
   void ArmHedge(const AttemptHistory& history);
@@ -70,11 +75,17 @@
                           AttemptHistory& history,
                           YieldContext yield);
   void ArmWatch();
+  void Trace(const AttemptRun& attempt,
+             const AttemptReport& report,
+             bool hedge);
 
   const SessionContext& context_;
   Strand strand_;
   const OutgoingRequest& request_;
   std::vector<BackendServerId> tried_;
+  std::vector<AttemptTrace> traces_;
+  /** How long the wait for the latest server took. */
+  Duration waited_{};
   std::shared_ptr<AttemptRun> attempt_;
   std::shared_ptr<AttemptRun> hedge_;
   std::optional<AttemptReport> hedge_report_;
--- a/src/request/io/attempt_run.h
+++ b/src/request/io/attempt_run.h
@@ -53,6 +53,10 @@
   void FinishUnused(const AttemptReport& report);
 
   const ChosenServer& server() const { return server_; }
+  /** From the choice of the server until Run ended. */
+  Duration latency() const { return result_.latency; }
+  /** Status of the server's answer; 0 if none came. */
+  int status() const { return static_cast<int>(header_.result_int()); }
   bool connection_was_reused() const { return was_reused_; }
   bool finished() const { return finished_; }
   bool aborted() const { return aborted_.has_value(); }
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -142,18 +142,6 @@
   return {field.data(), static_cast<size_t>(size)};
 }
 
-int StatusOf(const ErrorPlan& plan, const CallNames& names) {
-  const ErrorAnswer& answer = AnswerFor(plan.error);
-  if (plan.error == ErrorKind::kKeyUnknown)
-    return names.key_unknown_status;
-  const bool refusal = answer.caller_may_retry &&
-                       plan.outcome == Outcome::kNotRun &&
-                       plan.error != ErrorKind::kRateExceeded &&
-                       plan.error != ErrorKind::kRequestTimeout;
-  return refusal && names.refusal_status != 0 ? names.refusal_status
-                                              : answer.http_status;
-}
-
 bool IsDigit(char c) {
   return c >= '0' && c <= '9';
 }
@@ -288,6 +276,18 @@
   return out;
 }
 
+int StatusOf(const ErrorPlan& plan, const CallNames& names) {
+  const ErrorAnswer& answer = AnswerFor(plan.error);
+  if (plan.error == ErrorKind::kKeyUnknown)
+    return names.key_unknown_status;
+  const bool refusal = answer.caller_may_retry &&
+                       plan.outcome == Outcome::kNotRun &&
+                       plan.error != ErrorKind::kRateExceeded &&
+                       plan.error != ErrorKind::kRequestTimeout;
+  return refusal && names.refusal_status != 0 ? names.refusal_status
+                                              : answer.http_status;
+}
+
 std::string ErrorResponse(const ErrorPlan& plan,
                           bool close,
                           bool head_only,
--- a/src/request/io/message_head.h
+++ b/src/request/io/message_head.h
@@ -58,6 +58,9 @@
                         bool close,
                         bool head_only);
 
+/** The status that an error is answered with. */
+int StatusOf(const ErrorPlan& plan, const CallNames& names);
+
 std::string ErrorResponse(const ErrorPlan& plan,
                           bool close,
                           bool head_only,
--- a/src/request/io/request_run.cc
+++ b/src/request/io/request_run.cc
@@ -8,6 +8,7 @@
 #include "process/servers/attempt_table.h"
 #include "process/tables.h"
 #include "request/deadline.h"
+#include "request/io/request_log.h"
 #include "request/io/response_relay.h"
 #include "version/io/digest.h"
 
@@ -45,6 +46,35 @@
 }
 
 bool RequestRun::Run(YieldContext yield) {
+  trace_.began = Now();
+  const bool go_on = RunAndTrace(yield);
+  WriteTrace();
+  return go_on;
+}
+
+// Address requests are no requests to a backend server, and many.
+void RequestRun::WriteTrace() {
+  if (!context_.request_log || is_address_request_)
+    return;
+  trace_.id = request_.id;
+  trace_.caller = caller_.address;
+  trace_.host = request_.host;
+  trace_.service = request_.service;
+  if (const Route* route = request_.authorisation.route)
+    trace_.path_prefix = route->path_prefix;
+  if (const ClientAccount* account = request_.authorisation.client_account)
+    trace_.client_account = account->id;
+  if (request_.version)
+    trace_.version = request_.version->document.version;
+  if (request_.deadline != TimePoint())
+    trace_.deadline = request_.deadline - trace_.began;
+  if (request_.target_at != TimePoint::max())
+    trace_.target = request_.target_at - trace_.began;
+  trace_.attempts = race_.traces();
+  context_.request_log->Write(trace_);
+}
+
+bool RequestRun::RunAndTrace(YieldContext yield) {
   try {
     return RunChecked(yield);
   } catch (const std::exception&) {
@@ -67,7 +97,8 @@
     may_drain_ = false;
     return Fail(PlanError(*error, history_), yield);
   }
-  if (IsAddressRequest())
+  is_address_request_ = IsAddressRequest();
+  if (is_address_request_)
     return ServeAddresses(yield);
   if (auto error = Prepare())
     return Fail(PlanError(*error, history_), yield);
@@ -77,6 +108,7 @@
     plan.retry_after = retry_after_;
     return Fail(plan, yield);
   }
+  trace_.admission = Now() - trace_.began;
   if (auto error = ReadBody(yield))
     return Fail(PlanError(*error, history_), yield);
   return RunAttempts(yield);
@@ -296,6 +328,7 @@
     attempt->Abort(AttemptReport::End::kCancelled);
   upload_.Stop(yield);
   const auto status = static_cast<int>(attempt->header().result_int());
+  trace_.status = status;
   if (end == RelayEnd::kWhole) {
     ++context_.tables.counters.answered;
     attempt->Finish(ResultOf(attempt->report(), status), in_step);
@@ -326,6 +359,9 @@
 
 bool RequestRun::Fail(const ErrorPlan& plan, YieldContext yield) {
   race_.StopWatching();
+  trace_.error = plan.error;
+  trace_.outcome = plan.outcome;
+  trace_.status = StatusOf(plan, context_.names);
   ++context_.tables.counters.errors[static_cast<size_t>(plan.error)];
   const bool drain = may_drain_ && !ExpectsContinue(header_);
   const bool read = upload_.whole() || (drain && !upload_.Buffer(yield));
--- a/src/request/io/request_run.h
+++ b/src/request/io/request_run.h
@@ -55,6 +55,8 @@
   std::optional<ErrorKind> ReadBody(YieldContext yield);
   bool RunAttempts(YieldContext yield);
   bool Forward(YieldContext yield);
+  bool RunAndTrace(YieldContext yield);
+  void WriteTrace();
   bool Fail(const ErrorPlan& plan, YieldContext yield);
   bool Answer(const std::string& response, YieldContext yield);
   bool CloseCaller();
@@ -73,10 +75,12 @@
   BodyUpload upload_;
   OutgoingRequest request_;
   AttemptHistory history_;
+  RequestTrace trace_;
   AttemptRace race_;
   /** The rest of the body may be read so that the connection can go on. */
   bool may_drain_ = true;
   bool must_close_ = false;
+  bool is_address_request_ = false;
   /** Set with an error: when the caller does best to come again. */
   std::optional<Duration> retry_after_;
   /** Set once the request must end early. */
