Learn the usual time of work for each route

Cause: a service answers requests of several routes, whose work differs by ten times (manifest reads also go to the other services). Before the first answer 50 ms were assumed for all routes.

Ruled out: the mean of the last answers of any route with a longer memory (the mix of routes changes the mean, not the noise); the body's length (the same for short and long work).

Now the work model keeps a mean for each route; before the first answer of a route, a third of the time that the document wants answers within.

Test that failed first: DiscoveredServersTest.RoutesAreToldApart.

--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -31,9 +31,6 @@
 
 constexpr double kGoodFactor = 1.05;
 
-// Until the first answer, the time of a request is not known.
-constexpr Duration kAssumedWork = milliseconds(50);
-
 Duration Scaled(Duration duration, double factor) {
   return Duration(
       static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
@@ -44,10 +41,9 @@
          wish.tried.end();
 }
 
-/** The usual time of a request at a good server. */
-Duration WorkOf(const ServiceEntry& service) {
-  return service.work.work > Duration::zero() ? service.work.work
-                                              : kAssumedWork;
+/** The usual time of the request at a good server. */
+Duration WorkOf(const ServiceEntry& service, const ServerWish& wish) {
+  return ExpectedWork(service.work, wish.route, wish.target);
 }
 
 /** Requests at the server, as far as this instance can tell. */
@@ -97,7 +93,8 @@
                   TimePoint now) {
   if (wish.target_at == TimePoint::max())
     return {true, Duration::max() / 4};
-  const Duration slack = wish.target_at - kCallerMargin - now - WorkOf(service);
+  const Duration slack =
+      wish.target_at - kCallerMargin - now - WorkOf(service, wish);
   return {slack >= Duration::zero(), slack};
 }
 
@@ -108,7 +105,7 @@
                   TimePoint now) {
   if (factor <= kGoodFactor)
     return true;
-  const Duration expected = Scaled(WorkOf(service), factor);
+  const Duration expected = Scaled(WorkOf(service, wish), factor);
   const Urgency urgency = UrgencyOf(service, wish, now);
   if (wish.target_at != TimePoint::max() &&
       now + expected + kCallerMargin <= wish.target_at)
@@ -227,7 +224,8 @@
 bool IsHopeless(const ServiceEntry& service,
                 const Waiter& waiter,
                 TimePoint now) {
-  return now + Scaled(WorkOf(service), kFastest) >= waiter.wish.deadline;
+  return now + Scaled(WorkOf(service, waiter.wish), kFastest) >=
+         waiter.wish.deadline;
 }
 
 bool HasAnyServer(const ServiceEntry& service,
@@ -317,7 +315,7 @@
       continue;
     }
     ChosenServer chosen = Describe(pool, *server, now);
-    chosen.note = {true, server->reported.slowness,
+    chosen.note = {true, waiter.wish.route, server->reported.slowness,
                    IsNearFull(ThereNow(*server), server->slots),
                    now - server->reported.at};
     Reserve(*server, now);
--- a/src/process/servers/server_request.h
+++ b/src/process/servers/server_request.h
@@ -49,6 +49,10 @@
   std::vector<BackendServerId> tried;
   /** An answer by then has its full value. */
   TimePoint target_at = TimePoint::max();
+  /** Requests of one route take about as long. */
+  std::string route = {};
+  /** What the route wants answers within; zero if it doesn't say. */
+  Duration target{};
   /** 0 goes first. */
   int priority = 0;
 };
--- a/src/process/servers/work_model.cc
+++ b/src/process/servers/work_model.cc
@@ -8,35 +8,58 @@
 // From this part of its slots on, a server may slow down.
 constexpr double kNearFullPart = 0.8;
 
+// A sample counts for this part of the mean once there are enough of them.
 constexpr double kWorkWeight = 0.05;
 constexpr double kFactorWeight = 0.1;
 constexpr double kMostFactor = 4;
 
+// Limits are set with room for slow answers, at some multiple of usual work.
+constexpr int kUsualTargetFactor = 3;
+constexpr Duration kAssumedWork = std::chrono::milliseconds(50);
+
+// More routes than a service has; those of earlier versions go with the rest.
+constexpr size_t kMostRoutes = 1000;
+
 Duration Scaled(Duration duration, double factor) {
   return Duration(
       static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
 }
 
+void NoteUsual(WorkModel& model, const std::string& name, Duration usual) {
+  if (model.routes.size() >= kMostRoutes)
+    model.routes.clear();
+  RouteWork& route = model.routes[name];
+  ++route.samples;
+  const double weight = std::max(kWorkWeight, 1.0 / route.samples);
+  route.mean += Scaled(usual - route.mean, weight);
+}
+
 }  // namespace
 
+Duration ExpectedWork(const WorkModel& model,
+                      const std::string& route,
+                      Duration target) {
+  const auto known = model.routes.find(route);
+  if (known != model.routes.end())
+    return known->second.mean;
+  return target > Duration::zero() ? target / kUsualTargetFactor : kAssumedWork;
+}
+
 void NoteLatency(WorkModel& model,
                  const PlacementNote& note,
                  Duration latency) {
   if (!note.known || note.slowness <= 0)
     return;
   const Duration usual = Scaled(latency, 1 / note.slowness);
-  if (!note.near_full) {
-    model.work =
-        model.work == Duration::zero()
-            ? usual
-            : Scaled(model.work, 1 - kWorkWeight) + Scaled(usual, kWorkWeight);
-    return;
-  }
-  if (model.work == Duration::zero())
+  if (!note.near_full)
+    return NoteUsual(model, note.route, usual);
+  const auto route = model.routes.find(note.route);
+  if (route == model.routes.end())
     return;
-  const double factor = std::clamp(static_cast<double>(usual.count()) /
-                                       static_cast<double>(model.work.count()),
-                                   0.5, kMostFactor);
+  const Duration mean = std::max(Duration(1), route->second.mean);
+  const double factor = std::clamp(
+      static_cast<double>(usual.count()) / static_cast<double>(mean.count()),
+      0.5, kMostFactor);
   model.near_full_factor += kFactorWeight * (factor - model.near_full_factor);
 }
 
--- a/src/process/servers/work_model.h
+++ b/src/process/servers/work_model.h
@@ -1,6 +1,9 @@
 #ifndef PROCESS_SERVERS_WORK_MODEL_H_
 #define PROCESS_SERVERS_WORK_MODEL_H_
 
+#include <string>
+#include <unordered_map>
+
 #include "process/clock.h"
 
 namespace mangodoor {
@@ -9,6 +12,8 @@
 struct PlacementNote {
   /** False if the server had not stated its load. */
   bool known = false;
+  /** The route of the request, as the work model tells them apart. */
+  std::string route;
   /** How long work took there, relative to usual. */
   double slowness = 1;
   /** The request took one of the last slots. */
@@ -17,14 +22,29 @@
   Duration age{};
 };
 
+/** How long the requests of one route take. */
+struct RouteWork {
+  /** At a server of usual speed that is not nearly full. */
+  Duration mean{};
+  int samples = 0;
+};
+
 /** How long the requests of a service take. */
 struct WorkModel {
-  /** At a server of usual speed that is not nearly full; 0 if unknown. */
-  Duration work{};
+  std::unordered_map<std::string, RouteWork> routes;
   /** How much longer a request takes that makes a server nearly full. */
   double near_full_factor = 1;
 };
 
+/**
+ * The usual time of a request of the route. `target` is the time that the
+ * document wants answers within, zero if none; it tells before the first
+ * answers.
+ */
+Duration ExpectedWork(const WorkModel& model,
+                      const std::string& route,
+                      Duration target);
+
 /** Takes over the latency of an answered request. */
 void NoteLatency(WorkModel& model, const PlacementNote& note, Duration latency);
 
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -68,12 +68,16 @@
       request_.deadline,
       tried_,
       request_.target_at,
+      allowed.route ? allowed.route->host + allowed.route->path_prefix
+                    : std::string(),
+      allowed.route ? Duration(allowed.route->target_latency)
+                    : Duration::zero(),
       request_.priority};
 }
 
 AttemptRace::Choice AttemptRace::ChooseServer(YieldContext yield) {
   const TimePoint began = context_.clock.Now();
-  const Choice choice = WaitForServer(yield);
+  Choice choice = WaitForServer(yield);
   waited_ = context_.clock.Now() - began;
   return choice;
 }
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -188,7 +188,7 @@
 // for a good server until it has missed its deadline.
 TEST_F(DiscoveredServersTest, SlowedServerIsTheLastResort) {
   Apply({Record(1, here)});
-  NoteLatency(FindService(pool_, work)->work, {true, 1, false, {}},
+  NoteLatency(FindService(pool_, work)->work, {true, "", 1, false, {}},
               milliseconds(20));
   // Work takes 20 ms, there 100 ms.
   statements_[BackendServerId("i1")] = {0, 0, 3, 5};
@@ -207,6 +207,30 @@
   EXPECT_EQ(Choose(wish).value(), "i1");
 }
 
+// Guards against a request that is sent to a slowed server, where it ends late
+// or not at all, because requests of another route are short, or because none
+// of its own route was answered yet (1163 ms where 600 ms were wanted).
+TEST_F(DiscoveredServersTest, RoutesAreToldApart) {
+  Apply({Record(1, here)});
+  ServiceEntry* service = FindService(pool_, work);
+  for (int i = 0; i < 40; ++i)
+    NoteLatency(service->work, {true, "short", 1, false, {}}, milliseconds(2));
+  statements_[BackendServerId("i1")] = {0, 0, 3, 5};
+  now_ += seconds(1);
+  ServerWish wish;
+  wish.target = milliseconds(600);
+  wish.target_at = now_ + wish.target;
+  wish.deadline = now_ + milliseconds(1200);
+  wish.route = "short";
+  EXPECT_EQ(Choose(wish).value(), "i1");
+  Answer(BackendServerId("i1"));
+  now_ += seconds(1);
+  wish.target_at = now_ + wish.target;
+  wish.deadline = now_ + milliseconds(1200);
+  wish.route = "long";
+  EXPECT_TRUE(Choose(wish).empty());
+}
+
 // Guards against a silent server that every request waits for.
 TEST_F(DiscoveredServersTest, SilentServerIsLeftAlone) {
   Apply({Record(1, here), Record(2, here)});
@@ -258,8 +282,8 @@
   ServiceEntry* service = FindService(pool_, work);
   EXPECT_EQ(BestConcurrency(service->work, 3), 3);
   for (int i = 0; i < 40; ++i) {
-    NoteLatency(service->work, {true, 1, false, {}}, milliseconds(60));
-    NoteLatency(service->work, {true, 1, true, {}}, milliseconds(102));
+    NoteLatency(service->work, {true, "", 1, false, {}}, milliseconds(60));
+    NoteLatency(service->work, {true, "", 1, true, {}}, milliseconds(102));
   }
   EXPECT_EQ(BestConcurrency(service->work, 3), 2);
   EXPECT_FALSE(Choose().empty());
