Tell followers the changes of a reload, not a whole copy

The reader of muscat-d, an instance with a tenth of a core and 10 Mbit/s, read the store again and sent a whole copy to each of 23 instances. Its link was full for two seconds.

Ruled out: longer silence limits (the directory must not name a dead instance for more than 6 s, and the changes would come late all the same); relays in more steps (each reader after the first would send copies too).

Now a copy remembers what a reload changed, deletions included, and tells it to followers that had the revision before. A push is encoded once for all followers with the same revision.

Test that failed first: StoreReplicaTest.ReloadIsToldAsChanges.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -470,6 +470,8 @@
 void FleetProcess::Run(FeedActions actions) {
   for (const OutgoingMessage& outgoing : actions.messages)
     hub_.Send(outgoing.to, outgoing.message);
+  for (const FeedPush& push : actions.pushes)
+    hub_.SendAll(push.to, push.update);
   if (!actions.news.empty()) {
     applier_.Apply(actions.news);
     TellOtherLeads();
--- a/src/process/peers/io/peer_hub.cc
+++ b/src/process/peers/io/peer_hub.cc
@@ -78,6 +78,17 @@
     SendOn(*link, message);
   }
 
+  void SendAll(const std::vector<InstanceId>& to, const PeerMessage& message) {
+    const std::optional<std::string> frame = Encoded(message);
+    for (const InstanceId& peer : to) {
+      const std::optional<LinkId> link = LinkTo(registry_, peer);
+      if (link && frame)
+        SendFrame(*link, *frame);
+      else
+        Count(counters_.peer_messages_dropped);
+    }
+  }
+
   std::vector<InstanceId> ConnectedPeers() const {
     OrderedLock lock(registry_.mutex);
     std::vector<InstanceId> peers;
@@ -120,13 +131,24 @@
       SendOn(link, state->handshake.own);
   }
 
-  void SendOn(LinkId link, const PeerMessage& message) {
-    std::string frame;
+  static std::optional<std::string> Encoded(const PeerMessage& message) {
     try {
-      frame = EncodePeerMessage(message);
-    } catch (const PeerMessageError&) {
-      return Count(counters_.peer_messages_dropped);
+      return EncodePeerMessage(message);
+    } catch (const PeerMessageError& error) {
+      Log(LogLevel::kWarning, "peer_message_not_sent",
+          {{"reason", error.what()}});
+      return std::nullopt;
     }
+  }
+
+  void SendOn(LinkId link, const PeerMessage& message) {
+    if (std::optional<std::string> frame = Encoded(message))
+      SendFrame(link, std::move(*frame));
+    else
+      Count(counters_.peer_messages_dropped);
+  }
+
+  void SendFrame(LinkId link, std::string frame) {
     const size_t size = frame.size();
     if (!sockets_.Send(link, std::move(frame)))
       return Count(counters_.peer_messages_dropped);
@@ -266,6 +288,11 @@
   impl_->Send(to, message);
 }
 
+void PeerHub::SendAll(const std::vector<InstanceId>& to,
+                      const PeerMessage& message) {
+  impl_->SendAll(to, message);
+}
+
 std::vector<InstanceId> PeerHub::ConnectedPeers() const {
   return impl_->ConnectedPeers();
 }
--- a/src/process/peers/io/peer_hub.h
+++ b/src/process/peers/io/peer_hub.h
@@ -73,6 +73,8 @@
   void Stop();
 
   void Send(const InstanceId& to, const PeerMessage& message) override;
+  /** Sends one message to several peers, encoded once. */
+  void SendAll(const std::vector<InstanceId>& to, const PeerMessage& message);
   std::vector<InstanceId> ConnectedPeers() const override;
 
  private:
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -1,6 +1,7 @@
 #include "process/registry/feed.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace mangodoor {
@@ -55,15 +56,19 @@
               FeedActions& actions) {
   if (feed.replica.revision == revision_before)
     return;
+  // Most of them have the same revision, and get the same message.
+  std::map<uint64_t, std::vector<InstanceId>> by_revision;
   for (const auto& [peer, rank] : place.neighbours) {
     const auto known = feed.peers.find(peer);
     const uint64_t has =
         known == feed.peers.end() ? revision_before : known->second.revision;
     if (has >= feed.replica.revision)
       continue;
-    actions.messages.push_back(
-        {peer, ToMessage(ChangesAfter(feed.replica,
-                                      std::max(has, revision_before)))});
+    by_revision[std::max(has, revision_before)].push_back(peer);
+  }
+  for (auto& [revision, to] : by_revision) {
+    actions.pushes.push_back(
+        {std::move(to), ToMessage(ChangesAfter(feed.replica, revision))});
   }
 }
 
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -39,9 +39,16 @@
   std::optional<TimePoint> behind_since;
 };
 
+/** Changes that several instances are sent. */
+struct FeedPush {
+  std::vector<InstanceId> to;
+  FeedUpdate update;
+};
+
 /** What is to be done after a call, once no lock is held. */
 struct FeedActions {
   std::vector<OutgoingMessage> messages;
+  std::vector<FeedPush> pushes;
   ReadStart read;
   /** Changes to put into force, in order. */
   std::vector<StoreItem> news;
--- a/src/process/registry/store_replica.cc
+++ b/src/process/registry/store_replica.cc
@@ -27,7 +27,9 @@
 void Remember(StoreReplica& replica, const StoreItem& item) {
   replica.recent.push_back({item.key, item.revision});
   while (replica.recent.size() > kMaxRecent) {
-    replica.recent_after = replica.recent.front().revision;
+    // A reload may leave changes out of order by a few.
+    replica.recent_after =
+        std::max(replica.recent_after, replica.recent.front().revision);
     replica.recent.pop_front();
   }
 }
@@ -64,6 +66,24 @@
   return missing;
 }
 
+// Followers that had what the replica had need only the difference: a whole
+// copy to each of them would fill the link of a small instance for seconds.
+void RememberReload(StoreReplica& replica,
+                    std::vector<StoreItem> news,
+                    uint64_t revision) {
+  if (replica.revision == 0) {
+    replica.recent.clear();
+    replica.recent_after = revision;
+    return;
+  }
+  std::sort(news.begin(), news.end(),
+            [](const StoreItem& a, const StoreItem& b) {
+              return a.revision < b.revision;
+            });
+  for (const StoreItem& item : news)
+    Remember(replica, item);
+}
+
 std::vector<StoreItem> ApplyWhole(StoreReplica& replica,
                                   const std::map<std::string, StoreItem>& whole,
                                   uint64_t revision) {
@@ -76,9 +96,8 @@
     if (ApplyItem(replica, item))
       news.push_back(item);
   }
+  RememberReload(replica, news, revision);
   replica.revision = revision;
-  replica.recent.clear();
-  replica.recent_after = revision;
   return news;
 }
 
--- a/tests/registry/store_replica_test.cc
+++ b/tests/registry/store_replica_test.cc
@@ -49,6 +49,29 @@
   EXPECT_EQ(replica.revision, 12U);
 }
 
+// Guards against a whole copy for every follower after the store has lost its
+// history, which kept a reader with 10 Mbit/s silent for two seconds, and
+// against a follower that misses what the reload found deleted.
+TEST(StoreReplicaTest, ReloadIsToldAsChanges) {
+  StoreReplica replica = Loaded();
+  ApplyChanges(replica, Changes(10, 12, {Item("c", 12)}));
+  StoreReplica follower = Loaded();
+  StoreReload reload;
+  reload.revision = 20;
+  for (const auto& item : {Item("b", 7), Item("c", 12), Item("d", 21)})
+    reload.items[item.key] = item;
+  ApplyReload(replica, reload);
+  const StoreChanges told = ChangesAfter(replica, 10);
+  EXPECT_FALSE(told.whole);
+  EXPECT_EQ(told.items.size(), 3U);
+  ApplyChanges(follower, told);
+  EXPECT_EQ(follower.revision, 20U);
+  ASSERT_EQ(follower.items.size(), 3U);
+  EXPECT_EQ(follower.items.count("a"), 0U);
+  EXPECT_EQ(follower.items.at("d").revision, 21U);
+  EXPECT_TRUE(ChangesAfter(replica, 9).whole);
+}
+
 // Guards against changes that are lost in a gap without anyone noticing.
 TEST(StoreReplicaTest, ChangesAfterAGapAreNotTaken) {
   StoreReplica replica = Loaded();
--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -124,6 +124,10 @@
 void RegistrySim::Carry(SimReader& reader, FeedActions actions) {
   for (OutgoingMessage& outgoing : actions.messages)
     messages_.push_back({reader.id, std::move(outgoing)});
+  for (const FeedPush& push : actions.pushes) {
+    for (const InstanceId& to : push.to)
+      messages_.push_back({reader.id, {to, push.update}});
+  }
   for (const StoreItem& item : actions.news) {
     if (item.deleted)
       reader.applied.erase(item.key);
