Send callers to few instances that can bear them, and hubs' work to the strongest

Cause: the directory named two instances for a host in each data centre, whatever they can bear, and the template of the settings gave all of them the same weight. Hubs were chosen the same way. What a server bears (probes, requests while cold) was divided by all 28 instances of its data centre, so the two with calls had a fourteenth of it.

Ruled out: all instances in proportion to their processor time (a call on a tenth of a core takes ten times its processor time; and each instance then knows little of what the servers do); more addresses in each answer (callers choose among them evenly, so the weak get as many calls as the strong).

Now instances state their processor time. Each counts its calls; leads sum them up as they do for accounts. In each data centre as few instances as bear three times its calls take callers, the strongest first and at least two; a caller gets two of them by weighted rendezvous. They share what the servers of their data centre bear; the others keep a small part of it for callers with old answers. The strongest instances are hubs.

A first word from a peer logged one line for each of 107 members; it is one line now.

--- a/src/process/fleet/address_plan.cc
+++ b/src/process/fleet/address_plan.cc
@@ -10,8 +10,7 @@
 namespace mangodoor {
 namespace {
 
-// Few instances share the servers of a data centre, so that each knows best
-// what the servers are doing; two, so that one may fail.
+// Two, so that one may fail.
 constexpr size_t kAddressesPerCaller = 2;
 
 /** Weighted rendezvous: the highest value wins, in proportion to weights. */
@@ -48,9 +47,12 @@
   return weights;
 }
 
+std::string CallerKey(const AddressInputs& inputs) {
+  return std::string(inputs.caller) + "|" + std::string(inputs.subject);
+}
+
 std::optional<DataCentreId> PickDataCentre(const AddressInputs& inputs) {
-  const std::string key =
-      std::string(inputs.caller) + "|" + std::string(inputs.subject);
+  const std::string key = CallerKey(inputs);
   std::optional<DataCentreId> best;
   double best_score = 0;
   for (const auto& [data_centre, weight] : Weights(inputs)) {
@@ -67,14 +69,14 @@
 
 std::vector<Endpoint> PlanAddresses(const AddressInputs& inputs) {
   const std::optional<DataCentreId> data_centre = PickDataCentre(inputs);
+  if (!data_centre)
+    return {};
   std::vector<std::pair<double, Endpoint>> scored;
-  for (const Member& member : inputs.live) {
-    if (data_centre && TakesCallers(member) &&
-        member.data_centre == *data_centre) {
-      scored.emplace_back(
-          WeightedScore(inputs.subject, member.id.value(), member.weight),
-          member.caller_endpoint);
-    }
+  for (const Member* member :
+       CallTakers(inputs.live, *data_centre, inputs.calls_per_s)) {
+    scored.emplace_back(WeightedScore(CallerKey(inputs), member->id.value(),
+                                      member->millicores),
+                        member->caller_endpoint);
   }
   std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
     return a.first != b.first ? a.first > b.first : a.second < b.second;
--- a/src/process/fleet/address_plan.h
+++ b/src/process/fleet/address_plan.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "process/fleet/call_takers.h"
 #include "process/fleet/member.h"
 
 namespace mangodoor {
@@ -16,7 +17,9 @@
   DataCentreId own_data_centre;
   /** Slots in each data centre of servers that may run the caller's calls. */
   std::map<DataCentreId, double> capacity;
-  /** What the caller will call, so that its calls meet on few instances. */
+  /** Calls that a data centre is to be able to take. */
+  double calls_per_s = 0;
+  /** What the caller will call. */
   std::string_view subject;
   /** Tells callers apart. */
   std::string_view caller;
--- /dev/null
+++ b/src/process/fleet/call_rates.cc
@@ -0,0 +1,77 @@
+#include "process/fleet/call_rates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangodoor {
+namespace {
+
+// Short enough to follow a burst while callers keep their addresses.
+constexpr Duration kAveragedOver = std::chrono::seconds(2);
+
+constexpr Duration kNearValid = std::chrono::seconds(2);
+// A data centre that cannot be heard still has its callers.
+constexpr Duration kFarValid = std::chrono::seconds(10);
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+template <typename Reports>
+double SumOf(const Reports& reports, Duration valid, TimePoint now) {
+  double sum = 0;
+  for (const auto& [from, report] : reports)
+    sum += now - report.at <= valid ? report.per_s : 0;
+  return sum;
+}
+
+}  // namespace
+
+void CountCalls(CallRates& rates, uint64_t total, TimePoint now) {
+  if (rates.counted_at) {
+    const double elapsed = Seconds(now - *rates.counted_at);
+    if (elapsed <= 0)
+      return;
+    const double sample = static_cast<double>(total - rates.counted) / elapsed;
+    const double weight = 1 - std::exp(-elapsed / Seconds(kAveragedOver));
+    rates.own_per_s += (sample - rates.own_per_s) * weight;
+  }
+  rates.counted = total;
+  rates.counted_at = now;
+}
+
+double RateFor(const CallRates& rates, UsageScope scope, TimePoint now) {
+  double rate = rates.own_per_s;
+  if (scope != UsageScope::kInstance)
+    rate += SumOf(rates.near, kNearValid, now);
+  if (scope == UsageScope::kFleet)
+    rate += SumOf(rates.far, kFarValid, now);
+  return rate;
+}
+
+void HearCalls(CallRates& rates,
+               const InstanceId& from,
+               const DataCentreId& data_centre,
+               bool own_data_centre,
+               const MemberBeat& beat,
+               TimePoint now) {
+  if (beat.covered == 0)
+    return;
+  const ReportedRate total{beat.calls_per_s, now};
+  if (!own_data_centre) {
+    if (beat.scope == UsageScope::kDataCentre)
+      rates.far[data_centre] = total;
+    return;
+  }
+  if (beat.scope == UsageScope::kFleet)
+    rates.fleet = total;
+  if (beat.scope != UsageScope::kDataCentre)
+    rates.near[from] = {beat.own_calls_per_s, now};
+}
+
+double FleetCallsPerS(const CallRates& rates, TimePoint now) {
+  const double told = now - rates.fleet.at <= kFarValid ? rates.fleet.per_s : 0;
+  return std::max(told, RateFor(rates, UsageScope::kFleet, now));
+}
+
+}  // namespace mangodoor
--- a/src/process/fleet/fleet_table.cc
+++ b/src/process/fleet/fleet_table.cc
@@ -83,15 +83,40 @@
   return changed;
 }
 
+void CountCalls(FleetTable& table, uint64_t total, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  CountCalls(table.calls, total, now);
+}
+
+void HearCalls(FleetTable& table,
+               const InstanceId& from,
+               const MemberBeat& beat,
+               TimePoint now) {
+  OrderedLock lock(table.mutex);
+  const auto known = table.book.members.find(from);
+  if (known == table.book.members.end())
+    return;
+  const DataCentreId& data_centre = known->second.member.data_centre;
+  HearCalls(table.calls, from, data_centre,
+            data_centre == table.book.self.data_centre, beat, now);
+}
+
+void StateCalls(const FleetTable& table, MemberBeat& beat, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  beat.calls_per_s = RateFor(table.calls, beat.scope, now);
+  beat.own_calls_per_s = table.calls.own_per_s;
+}
+
 void BeginLeaving(FleetTable& table, TimePoint now) {
   OrderedLock lock(table.mutex);
   Leave(table.book, now);
 }
 
-FleetView ViewFleet(const FleetTable& table) {
+FleetView ViewFleet(const FleetTable& table, TimePoint now) {
   OrderedLock lock(table.mutex);
   FleetView view;
   view.self = table.book.self;
+  view.calls_per_s = FleetCallsPerS(table.calls, now);
   for (const Member* member : LiveMembers(table.book))
     view.live.push_back(*member);
   const auto ranked = RankedMembers(table.book, table.book.self.data_centre);
--- a/src/process/fleet/fleet_table.h
+++ b/src/process/fleet/fleet_table.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "process/fleet/call_rates.h"
 #include "process/fleet/member_book.h"
 #include "process/membership/membership.h"
 #include "process/ordered_mutex.h"
@@ -26,6 +27,7 @@
   std::vector<Endpoint> seeds;
   /** Links that are open. */
   std::map<InstanceId, FleetLink> links;
+  CallRates calls;
   std::optional<TimePoint> last_tick;
 };
 
@@ -61,6 +63,18 @@
                                      const MemberNews& news,
                                      TimePoint now);
 
+/** Takes over how many requests this instance has had since its start. */
+void CountCalls(FleetTable& table, uint64_t total, TimePoint now);
+
+/** Takes over what a beat states of the sender's calls. */
+void HearCalls(FleetTable& table,
+               const InstanceId& from,
+               const MemberBeat& beat,
+               TimePoint now);
+
+/** Fills in what this instance states of calls, for the beat's scope. */
+void StateCalls(const FleetTable& table, MemberBeat& beat, TimePoint now);
+
 void BeginLeaving(FleetTable& table, TimePoint now);
 
 /** A view of the fleet for one decision. */
@@ -73,9 +87,11 @@
   /** Linked instances of other data centres. */
   std::vector<InstanceId> far;
   size_t rank = 0;
+  /** Requests that come to the fleet. */
+  double calls_per_s = 0;
 };
 
-FleetView ViewFleet(const FleetTable& table);
+FleetView ViewFleet(const FleetTable& table, TimePoint now);
 
 }  // namespace mangodoor
 
--- a/src/process/fleet/member.h
+++ b/src/process/fleet/member.h
@@ -17,8 +17,8 @@
   DataCentreId data_centre;
   Endpoint caller_endpoint;
   Endpoint peer_endpoint;
-  /** What it can bear, relative to the others. */
-  int weight = 1;
+  /** Processor time that it has, in thousandths of a core. */
+  int millicores = 1000;
   /** Higher in each later process of the same id; it alone raises it. */
   uint64_t incarnation = 0;
   MemberState state = MemberState::kServing;
--- a/src/process/fleet/member_book.cc
+++ b/src/process/fleet/member_book.cc
@@ -168,12 +168,17 @@
           RendezvousScore(data_centre.value(), member->id.value()), member);
     }
   }
-  // A leaving instance soon has no links, so it is ranked last.
+  // A leaving instance soon has no links, so it is ranked last. Hubs have more
+  // to do than others, so the strongest instances come first.
   std::stable_sort(
       scored.begin(), scored.end(), [](const auto& a, const auto& b) {
         const bool a_leaves = a.second->state == MemberState::kLeaving;
         const bool b_leaves = b.second->state == MemberState::kLeaving;
-        return a_leaves != b_leaves ? b_leaves : a.first > b.first;
+        if (a_leaves != b_leaves)
+          return b_leaves;
+        if (a.second->millicores != b.second->millicores)
+          return a.second->millicores > b.second->millicores;
+        return a.first > b.first;
       });
   std::vector<const Member*> ranked;
   ranked.reserve(scored.size());
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <cmath>
 #include <csignal>
 #include <map>
 #include <utility>
@@ -15,6 +16,7 @@
 #include "process/accounts/token_asks.h"
 #include "process/accounts/token_lender.h"
 #include "process/fleet/address_plan.h"
+#include "process/fleet/call_takers.h"
 #include "process/fleet/fleet_table.h"
 #include "process/io/action_runner.h"
 #include "process/io/log.h"
@@ -53,7 +55,8 @@
   self.data_centre = settings.self.data_centre;
   self.caller_endpoint = settings.self.caller_endpoint;
   self.peer_endpoint = settings.self.peer_endpoint;
-  self.weight = settings.fleet->weight;
+  self.millicores = static_cast<int>(std::lround(
+      settings.fleet->processor_share * settings.worker_threads * 1000));
   // A later process has a later start; peers that remember more correct it.
   self.incarnation = static_cast<uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -68,6 +71,31 @@
   return self;
 }
 
+const char* NameOf(MemberState state) {
+  switch (state) {
+    case MemberState::kServing:
+      return "serving";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+/** The first few members with their states, and how many more there are. */
+std::string Describe(const std::vector<Member>& members) {
+  constexpr size_t kMostNamed = 8;
+  std::string text;
+  for (size_t i = 0; i < std::min(members.size(), kMostNamed); ++i) {
+    text += (i > 0 ? " " : "") + members[i].id.value() + "=" +
+            NameOf(members[i].state);
+  }
+  if (members.size() > kMostNamed)
+    text += " and " + std::to_string(members.size() - kMostNamed) + " more";
+  return text;
+}
+
 std::chrono::milliseconds Part(std::chrono::milliseconds whole, double part) {
   return std::chrono::milliseconds(
       static_cast<int64_t>(static_cast<double>(whole.count()) * part));
@@ -98,7 +126,12 @@
   void HandlePeerLost(const InstanceId& peer);
   void TickMembers();
   void TickServerTable();
+  InstanceShares Shares(const FleetView& view) const;
+  double CallsPerDataCentre(const FleetView& view) const;
   void SendBeats(const std::vector<InstanceId>& due, const FleetView& view);
+  void SendBeat(const std::vector<InstanceId>& to,
+                UsageScope scope,
+                bool states_usage);
   void KeepLinks(std::vector<Instance> links);
   void Run(FeedActions actions);
   void TellOtherLeads();
@@ -300,21 +333,20 @@
 }
 
 void FleetProcess::HandleNews(const InstanceId& from, const MemberNews& news) {
-  for (const Member& member :
-       HandleMemberNews(fleet_, from, news, clock_.Now())) {
-    Log(LogLevel::kInfo, "member_changed",
-        {{"member", member.id.value()},
-         {"data_centre", member.data_centre.value()},
-         {"state", static_cast<int>(member.state)},
-         {"incarnation", member.incarnation},
-         {"from", from.value()}});
-  }
+  const std::vector<Member> changed =
+      HandleMemberNews(fleet_, from, news, clock_.Now());
+  if (changed.empty())
+    return;
+  // A first word from a peer names the whole fleet: one line for all of them.
+  Log(LogLevel::kInfo, "members_changed",
+      {{"members", Describe(changed)}, {"from", from.value()}});
 }
 
 void FleetProcess::HandleBeat(const InstanceId& from, const MemberBeat& beat) {
   const TimePoint now = clock_.Now();
-  const FleetView view = ViewFleet(fleet_);
+  const FleetView view = ViewFleet(fleet_, clock_.Now());
   Run(HandleFeedBeat(feed_, Place(), from, beat, now));
+  HearCalls(fleet_, from, beat, now);
   for (const Member& member : view.live) {
     if (member.id != from)
       continue;
@@ -326,7 +358,7 @@
 
 void FleetProcess::Ask(const ClientAccountId& account,
                        std::function<void(bool)> done) {
-  const FleetView view = ViewFleet(fleet_);
+  const FleetView view = ViewFleet(fleet_, clock_.Now());
   const auto lead =
       std::find_if(view.neighbours.begin(), view.neighbours.end(),
                    [](const auto& neighbour) { return neighbour.second == 0; });
@@ -374,7 +406,7 @@
 }
 
 void FleetProcess::AnswerAsk(const InstanceId& from, const TokenRequest& ask) {
-  const FleetView view = ViewFleet(fleet_);
+  const FleetView view = ViewFleet(fleet_, clock_.Now());
   const TimePoint now = clock_.Now();
   const bool near = view.neighbours.count(from) > 0;
   int granted = 0;
@@ -406,21 +438,19 @@
 }
 
 FeedPlace FleetProcess::Place() const {
-  FleetView view = ViewFleet(fleet_);
+  FleetView view = ViewFleet(fleet_, clock_.Now());
   return {view.rank, std::move(view.neighbours)};
 }
 
 void FleetProcess::TickMembers() {
   const TimePoint now = clock_.Now();
   FleetActions fleet = TickFleet(fleet_, now);
+  CountCalls(fleet_, tables_.counters.requests, now);
   for (const InstanceId& gone : fleet.gone)
     Log(LogLevel::kWarning, "member_gone", {{"member", gone.value()}});
   for (const OutgoingMessage& outgoing : fleet.messages)
     hub_.Send(outgoing.to, outgoing.message);
-  const FleetView view = ViewFleet(fleet_);
-  std::map<DataCentreId, int> instances_of;
-  for (const Member& member : view.live)
-    ++instances_of[member.data_centre];
+  const FleetView view = ViewFleet(fleet_, clock_.Now());
   const int all = static_cast<int>(view.live.size());
   {
     OrderedLock lock(tables_.usage.mutex);
@@ -428,33 +458,58 @@
     NoteLead(tables_.usage.book, view.rank == 0, now);
   }
   FillUpPools(view);
-  NoteInstances(tables_.servers, instances_of);
+  NoteShares(tables_.servers, Shares(view));
   NoteInstances(attempts_, all);
   SendBeats(fleet.beats, view);
   KeepLinks(std::move(fleet.links));
   Run(TickFeed(feed_, {view.rank, view.neighbours}, now));
 }
 
+InstanceShares FleetProcess::Shares(const FleetView& view) const {
+  InstanceShares shares;
+  for (const Member& member : view.live)
+    ++shares.instances[member.data_centre];
+  const double calls_per_s = CallsPerDataCentre(view);
+  for (const auto& [data_centre, count] : shares.instances) {
+    const auto takers = CallTakers(view.live, data_centre, calls_per_s);
+    shares.takers[data_centre] = static_cast<int>(takers.size());
+    for (const Member* taker : takers)
+      shares.takes_calls |= taker->id == view.self.id;
+  }
+  return shares;
+}
+
+double FleetProcess::CallsPerDataCentre(const FleetView& view) const {
+  return mangodoor::CallsPerDataCentre(view.live, view.calls_per_s,
+                                       AllSlots(tables_.servers, clock_.Now()));
+}
+
 void FleetProcess::SendBeats(const std::vector<InstanceId>& due,
                              const FleetView& view) {
-  if (due.empty())
+  const bool leads = view.rank == 0;
+  std::vector<InstanceId> near;
+  std::vector<InstanceId> far;
+  for (const InstanceId& peer : due)
+    (view.neighbours.count(peer) > 0 ? near : far).push_back(peer);
+  SendBeat(near, leads ? UsageScope::kFleet : UsageScope::kInstance, true);
+  SendBeat(far, UsageScope::kDataCentre, leads);
+}
+
+void FleetProcess::SendBeat(const std::vector<InstanceId>& to,
+                            UsageScope scope,
+                            bool states_usage) {
+  if (to.empty())
     return;
   const TimePoint now = clock_.Now();
   MemberBeat beat;
   DescribeFeed(feed_, now, beat);
-  const bool leads = view.rank == 0;
-  for (const InstanceId& peer : due) {
-    const bool near = view.neighbours.count(peer) > 0;
-    MemberBeat sent = beat;
-    if (near || leads) {
-      sent.scope = !near   ? UsageScope::kDataCentre
-                   : leads ? UsageScope::kFleet
-                           : UsageScope::kInstance;
-      OrderedLock lock(tables_.usage.mutex);
-      StateUsage(tables_.usage.book, sent, now);
-    }
-    hub_.Send(peer, sent);
+  if (states_usage) {
+    beat.scope = scope;
+    StateCalls(fleet_, beat, now);
+    OrderedLock lock(tables_.usage.mutex);
+    StateUsage(tables_.usage.book, beat, now);
   }
+  hub_.SendAll(to, beat);
 }
 
 void FleetProcess::KeepLinks(std::vector<Instance> links) {
@@ -482,15 +537,14 @@
 // A data centre whose reader waits at a silent watch hears at once that it
 // lacks something.
 void FleetProcess::TellOtherLeads() {
-  const FleetView view = ViewFleet(fleet_);
+  const FleetView view = ViewFleet(fleet_, clock_.Now());
   const TimePoint now = clock_.Now();
   if (view.rank > 0 || now - told_at_.load() < kTellSpacing)
     return;
   told_at_ = now;
   MemberBeat beat;
   DescribeFeed(feed_, now, beat);
-  for (const InstanceId& peer : view.far)
-    hub_.Send(peer, beat);
+  hub_.SendAll(view.far, beat);
 }
 
 void FleetProcess::StartRead(const ReadStart& read) {
@@ -518,10 +572,11 @@
 }
 
 AddressAnswer FleetProcess::Addresses(const AddressQuery& query) const {
-  const FleetView view = ViewFleet(fleet_);
+  const FleetView view = ViewFleet(fleet_, clock_.Now());
   AddressInputs inputs;
   inputs.live = view.live;
   inputs.own_data_centre = view.self.data_centre;
+  inputs.calls_per_s = CallsPerDataCentre(view);
   inputs.subject = query.host;
   inputs.caller = query.caller;
   if (const VersionPtr version = VersionInForce(tables_.versions)) {
--- a/src/process/io/settings.cc
+++ b/src/process/io/settings.cc
@@ -18,7 +18,7 @@
 constexpr Range<int64_t> kWorkerThreadsRange{1, 64};
 constexpr size_t kMaxSettingsBytes = 64 * 1024;
 constexpr Range<int64_t> kWindowRangeMs{1, 3600000};
-constexpr Range<int64_t> kInstanceWeightRange{1, 1000000};
+constexpr Range<double> kProcessorShareRange{0.001, 1};
 constexpr Range<double> kPartRange{0, 100};
 constexpr Range<double> kSlackRange{0, 1000000};
 
@@ -118,8 +118,8 @@
   ReadAddress(object, "store", fleet->store, nullptr);
   ReadAddress(object, "directory", fleet->directory, &used);
   ReadAddress(object, "readiness", fleet->readiness, &used);
-  ReadInteger(object, "weight", Presence::kOptional, kInstanceWeightRange,
-              fleet->weight);
+  ReadNumber(object, "processor_share", Presence::kOptional,
+             kProcessorShareRange, fleet->processor_share);
   ReadTolerance(object, fleet->tolerance);
   ReadRetries(object, fleet->retries);
   ReadNumber(object, "probes_per_s", Presence::kOptional, kProbeBudgetRange,
--- a/src/process/io/settings.h
+++ b/src/process/io/settings.h
@@ -24,8 +24,8 @@
   Endpoint directory;
   /** Where the platform asks whether this instance is ready. */
   Endpoint readiness;
-  /** What this instance can bear, relative to the others. */
-  int weight = 1;
+  /** Part of a core that each worker thread may use. */
+  double processor_share = 1;
   /** What may be admitted beyond the rates of client accounts. */
   UsageTolerance tolerance;
   /** Repeats that the fleet may make, as a part of its requests. */
--- a/src/process/peers/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -28,7 +28,7 @@
 constexpr int64_t kMaxInFlight = 1000000;
 constexpr Duration kMaxAge = std::chrono::hours(24 * 366);
 constexpr Duration kMaxLeaseDuration = std::chrono::seconds(10);
-constexpr int64_t kMaxMemberWeight = 1000000;
+constexpr int64_t kMaxMillicores = 1000000;
 constexpr size_t kMaxFeedItems = 65536;
 constexpr int64_t kMaxLentTokens = 1000;
 
@@ -277,7 +277,7 @@
   for (const Member& member : news.members) {
     entries.push_back({member.data_centre.value(),
                        ToString(member.caller_endpoint),
-                       ToString(member.peer_endpoint), member.weight,
+                       ToString(member.peer_endpoint), member.millicores,
                        member.incarnation, static_cast<int>(member.state)});
   }
   return {{"t", "member_news"}, {"members", std::move(entries)}};
@@ -288,7 +288,7 @@
   member.data_centre = DataCentreId(NameIn(entry, 0));
   member.caller_endpoint = EndpointIn(entry, 1);
   member.peer_endpoint = EndpointIn(entry, 2);
-  member.weight = static_cast<int>(IntegerIn(entry, 3, 1, kMaxMemberWeight));
+  member.millicores = static_cast<int>(IntegerIn(entry, 3, 1, kMaxMillicores));
   member.incarnation =
       static_cast<uint64_t>(IntegerIn(entry, 4, 0, INT64_MAX - 1));
   member.state = static_cast<MemberState>(IntegerIn(entry, 5, 0, 2));
@@ -307,9 +307,12 @@
   return std::min<int64_t>(std::llround(per_s * kUsageUnit), kMaxUsageUnits);
 }
 
+double FromUsageUnits(int64_t units) {
+  return static_cast<double>(units) / kUsageUnit;
+}
+
 double DemandIn(const Json& entry, size_t index) {
-  return static_cast<double>(IntegerIn(entry, index, 0, kMaxUsageUnits)) /
-         kUsageUnit;
+  return FromUsageUnits(IntegerIn(entry, index, 0, kMaxUsageUnits));
 }
 
 Json Encode(const MemberBeat& beat) {
@@ -322,6 +325,8 @@
     return json;
   json["s"] = static_cast<int>(beat.scope);
   json["n"] = beat.covered;
+  json["q"] = ToUsageUnits(beat.calls_per_s);
+  json["o"] = ToUsageUnits(beat.own_calls_per_s);
   Json usage = Json::array();
   for (const AccountUsage& one : beat.usage) {
     usage.push_back({one.client_account.value(), ToUsageUnits(one.demand_per_s),
@@ -342,6 +347,9 @@
     return beat;
   beat.scope = static_cast<UsageScope>(IntegerAt(json, "s", 0, 2));
   beat.covered = static_cast<int>(IntegerAt(json, "n", 1, kMaxInstances));
+  beat.calls_per_s = FromUsageUnits(IntegerAt(json, "q", 0, kMaxUsageUnits));
+  beat.own_calls_per_s =
+      FromUsageUnits(IntegerAt(json, "o", 0, kMaxUsageUnits));
   for (const Json& entry : ArrayAt(json, "u", kMaxSpareShares)) {
     beat.usage.push_back({ClientAccountId(NameIn(entry, 0)), DemandIn(entry, 1),
                           DemandIn(entry, 2)});
--- a/src/process/peers/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -133,6 +133,10 @@
   UsageScope scope = UsageScope::kInstance;
   /** Instances whose demands are summed up; 0 if there are no demands. */
   int covered = 0;
+  /** Requests of all accounts, summed up over the scope. */
+  double calls_per_s = 0;
+  /** Those that come to the sender itself. */
+  double own_calls_per_s = 0;
   std::vector<AccountUsage> usage;
 };
 
--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -20,22 +20,18 @@
   return now < window.until;
 }
 
-bool MaySendCold(const ColdWindow& window,
-                 double rate_per_s,
-                 int instances,
-                 TimePoint now) {
+bool MaySendCold(const ColdWindow& window, double rate_per_s, TimePoint now) {
   if (rate_per_s <= 0 || !IsCold(window, now))
     return true;
-  const double share_per_s = rate_per_s / std::max(1, instances);
-  if (share_per_s < 1) {
+  if (rate_per_s < 1) {
     const auto spacing = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(1 / share_per_s));
+        std::chrono::duration<double>(1 / rate_per_s));
     return !window.last_sent || now - *window.last_sent >= spacing;
   }
   const auto recent =
       std::count_if(window.sent.begin(), window.sent.end(),
                     [now](TimePoint sent) { return now - sent < kWindow; });
-  return recent < static_cast<int>(share_per_s);
+  return recent < static_cast<int>(rate_per_s);
 }
 
 void NoteSent(ColdWindow& window, TimePoint now) {
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -23,12 +23,9 @@
 
 /**
  * True if one more request may go to the server now. `rate_per_s` is what it
- * bears of the whole fleet, 0 for no limit; `instances` share it evenly.
+ * bears of this instance, 0 for no limit.
  */
-bool MaySendCold(const ColdWindow& window,
-                 double rate_per_s,
-                 int instances,
-                 TimePoint now);
+bool MaySendCold(const ColdWindow& window, double rate_per_s, TimePoint now);
 
 /** Notes a request that is sent. */
 void NoteSent(ColdWindow& window, TimePoint now);
--- /dev/null
+++ b/src/process/servers/instance_shares.cc
@@ -0,0 +1,42 @@
+#include "process/servers/instance_shares.h"
+
+#include <algorithm>
+
+namespace mangodoor {
+namespace {
+
+// Callers with an old answer still come to instances that are not named any
+// more, though to few of them.
+constexpr double kOthersPart = 0.5;
+
+int CountIn(const std::map<DataCentreId, int>& counts,
+            const DataCentreId& data_centre) {
+  const auto found = counts.find(data_centre);
+  return found == counts.end() ? 0 : found->second;
+}
+
+}  // namespace
+
+int AllInstances(const InstanceShares& shares) {
+  int all = 0;
+  for (const auto& [data_centre, count] : shares.instances)
+    all += count;
+  return std::max(1, all);
+}
+
+bool HasInstance(const InstanceShares& shares,
+                 const DataCentreId& data_centre) {
+  return CountIn(shares.instances, data_centre) > 0;
+}
+
+double OwnPart(const InstanceShares& shares, const DataCentreId& data_centre) {
+  const int instances = CountIn(shares.instances, data_centre);
+  const int takers = CountIn(shares.takers, data_centre);
+  if (instances == 0)
+    return 1.0 / AllInstances(shares);
+  if (takers == 0)
+    return 1.0 / instances;
+  return shares.takes_calls ? 1.0 / takers : kOthersPart / instances;
+}
+
+}  // namespace mangodoor
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -277,14 +277,13 @@
                   TimePoint now) {
   constexpr double kMostSaved = 20;
   for (ServerEntry* server : service.servers) {
-    const auto sharers = pool.instances_of.find(server->data_centre);
-    const int count =
-        sharers == pool.instances_of.end() ? 1 : std::max(1, sharers->second);
     const double elapsed =
         std::chrono::duration<double>(now - server->probes_refilled).count();
     server->probes_refilled = now;
-    server->probe_tokens = std::min(
-        kMostSaved, server->probe_tokens + elapsed * pool.probes_per_s / count);
+    server->probe_tokens =
+        std::min(kMostSaved, server->probe_tokens +
+                                 elapsed * pool.probes_per_s *
+                                     OwnPart(pool.shares, server->data_centre));
   }
 }
 
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -67,12 +67,11 @@
                    const ServiceEntry& service,
                    const ServerEntry& server,
                    TimePoint now) {
-  const auto near = pool.instances_of.find(server.data_centre);
-  const int sharers = near == pool.instances_of.end() ? 0 : near->second;
-  if (!server.own_data_centre && sharers > 0)
+  if (!server.own_data_centre && HasInstance(pool.shares, server.data_centre))
     return false;
-  return MaySendCold(server.cold, service.cold_rate_per_s,
-                     sharers > 0 ? sharers : pool.instances, now);
+  return MaySendCold(
+      server.cold,
+      service.cold_rate_per_s * OwnPart(pool.shares, server.data_centre), now);
 }
 
 void ServeAllQueues(ServerPool& pool, TimePoint now) {
@@ -121,13 +120,11 @@
   return actions;
 }
 
-void NoteInstances(ServerPool& pool,
-                   const std::map<DataCentreId, int>& instances_of) {
-  pool.instances_of = instances_of;
-  pool.instances = 0;
-  for (const auto& [data_centre, count] : instances_of)
-    pool.instances += count;
-  pool.instances = std::max(1, pool.instances);
+double AllSlots(const ServerPool& pool, TimePoint now) {
+  double slots = 0;
+  for (const auto& [id, server] : pool.servers)
+    slots += IsUsable(server, now) ? server.slots : 0;
+  return slots;
 }
 
 std::map<DataCentreId, double> CapacityOf(
--- a/src/process/servers/server_pool.cc
+++ b/src/process/servers/server_pool.cc
@@ -50,7 +50,7 @@
     const auto service = pool.services.find(server.service);
     const int limit =
         service == pool.services.end() ? 1 : service->second.connection_limit;
-    return std::max(1, limit / std::max(1, pool.instances));
+    return std::max(1, limit / AllInstances(pool.shares));
   }
   // An instance at an address that is not listed has no share. One
   // connection lets it serve; servers accept a few more than their limit.
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -11,6 +11,7 @@
 #include "process/servers/cold_start.h"
 #include "process/servers/cold_window.h"
 #include "process/servers/fair_queue.h"
+#include "process/servers/instance_shares.h"
 #include "process/servers/latency.h"
 #include "process/servers/outlier.h"
 #include "process/servers/probe_schedule.h"
@@ -126,10 +127,7 @@
   DataCentreId own_data_centre;
   /** Taken out by an operator, apart from what the version says. */
   std::set<DataCentreId> data_centres_out;
-  /** Instances of each data centre, which share what its servers bear. */
-  std::map<DataCentreId, int> instances_of;
-  /** Instances of the fleet. */
-  int instances = 1;
+  InstanceShares shares;
   uint64_t last_ticket = 0;
   /** Decisions on waiting requests, given out with the next actions. */
   std::vector<Decision> decided;
@@ -220,8 +218,8 @@
                                const DataCentreId& data_centre,
                                bool out,
                                TimePoint now);
-void NoteInstances(ServerPool& pool,
-                   const std::map<DataCentreId, int>& instances_of);
+/** Slots of all usable servers. */
+double AllSlots(const ServerPool& pool, TimePoint now);
 std::map<DataCentreId, double> CapacityOf(
     const ServerPool& pool,
     const std::vector<ServiceId>& services,
--- a/src/process/servers/server_table.cc
+++ b/src/process/servers/server_table.cc
@@ -38,10 +38,14 @@
   return CapacityOf(table.pool, services, now);
 }
 
-void NoteInstances(ServerTable& table,
-                   const std::map<DataCentreId, int>& instances_of) {
+void NoteShares(ServerTable& table, InstanceShares shares) {
   OrderedLock lock(table.mutex);
-  NoteInstances(table.pool, instances_of);
+  table.pool.shares = std::move(shares);
+}
+
+double AllSlots(const ServerTable& table, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  return AllSlots(table.pool, now);
 }
 
 ServerReply AcquireServer(ServerTable& table,
--- a/src/process/servers/server_table.h
+++ b/src/process/servers/server_table.h
@@ -47,8 +47,10 @@
     TimePoint now);
 
 /** Notes how many instances share what the servers bear. */
-void NoteInstances(ServerTable& table,
-                   const std::map<DataCentreId, int>& instances_of);
+void NoteShares(ServerTable& table, InstanceShares shares);
+
+/** Slots of all usable servers. */
+double AllSlots(const ServerTable& table, TimePoint now);
 
 /**
  * Reserves a server. `done` is called later if and only if the reply says
--- /dev/null
+++ b/tests/members/call_takers_test.cc
@@ -0,0 +1,88 @@
+#include "process/fleet/call_takers.h"
+
+#include <gtest/gtest.h>
+
+#include "process/fleet/member_book.h"
+
+namespace mangodoor {
+namespace {
+
+const DataCentreId here("1");
+
+Member MakeMember(int number, int millicores) {
+  Member member;
+  member.data_centre = here;
+  member.peer_endpoint = {"10.0.1." + std::to_string(number), 1};
+  member.caller_endpoint = {member.peer_endpoint.address, 2};
+  member.id = IdOfEndpoint(member.peer_endpoint);
+  member.millicores = millicores;
+  return member;
+}
+
+std::vector<Member> TwoStrongManyWeak() {
+  std::vector<Member> live;
+  for (int i = 1; i <= 20; ++i)
+    live.push_back(MakeMember(i, i % 10 == 0 ? 500 : 100));
+  return live;
+}
+
+// Guards against callers that all come to an instance with a tenth of a core
+// while stronger ones have nothing to do.
+TEST(CallTakersTest, StrongInstancesComeFirst) {
+  const auto live = TwoStrongManyWeak();
+  const auto takers = CallTakers(live, here, 200);
+  ASSERT_EQ(takers.size(), 2U);
+  for (const Member* taker : takers)
+    EXPECT_EQ(taker->millicores, 500);
+}
+
+// Guards against a few instances that get more calls than they can bear.
+TEST(CallTakersTest, TheirNumberGrowsWithTheCalls) {
+  const auto live = TwoStrongManyWeak();
+  size_t before = 0;
+  for (const double calls_per_s : {0.0, 100.0, 500.0, 800.0}) {
+    const auto takers = CallTakers(live, here, calls_per_s);
+    double millicores = 0;
+    for (const Member* taker : takers)
+      millicores += taker->millicores;
+    // A call takes a millicore-second; a third of the time is to be used.
+    EXPECT_GE(millicores, 3 * calls_per_s);
+    EXPECT_GE(takers.size(), std::max<size_t>(2, before));
+    before = takers.size();
+  }
+  EXPECT_EQ(CallTakers(live, here, 1e6).size(), live.size());
+}
+
+// Guards against an empty answer where only one instance is left.
+TEST(CallTakersTest, OneIsBetterThanNone) {
+  auto live = TwoStrongManyWeak();
+  for (Member& member : live)
+    member.state = MemberState::kLeaving;
+  live[4].state = MemberState::kServing;
+  const auto takers = CallTakers(live, here, 1000);
+  ASSERT_EQ(takers.size(), 1U);
+  EXPECT_EQ(takers[0]->id, live[4].id);
+}
+
+// Guards against a fleet that starts with two weak instances as takers, because
+// no calls were counted yet.
+TEST(CallTakersTest, ServersTellBeforeCallsAreCounted) {
+  const auto live = TwoStrongManyWeak();
+  EXPECT_GT(CallsPerDataCentre(live, 0, 900), 100);
+  EXPECT_EQ(CallsPerDataCentre(live, 2000, 900), 2000);
+}
+
+// Guards against control work that falls to the weakest instances: one with a
+// tenth of a core was silent for seconds as the lead of 27.
+TEST(MemberRankTest, StrongInstancesAreHubs) {
+  MemberBook book = StartBook(MakeMember(1, 100));
+  for (const Member& member : TwoStrongManyWeak())
+    Learn(book, member, TimePoint(std::chrono::hours(1)));
+  const auto ranked = RankedMembers(book, here);
+  EXPECT_EQ(ranked[0]->millicores, 500);
+  EXPECT_EQ(ranked[1]->millicores, 500);
+  EXPECT_EQ(ranked[2]->millicores, 100);
+}
+
+}  // namespace
+}  // namespace mangodoor
--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -129,7 +129,8 @@
 
 std::set<std::string> FleetSim::LiveAt(int index) const {
   std::set<std::string> live;
-  for (const Member& member : ViewFleet(*instances_.at(IdOf(index)).table).live)
+  for (const Member& member :
+       ViewFleet(*instances_.at(IdOf(index)).table, now_).live)
     live.insert(member.id.value());
   return live;
 }
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -39,7 +39,7 @@
     document.version = 1;
     document.services = {service};
     ApplyVersion(pool_, *MakeVersion(document, "", ""), {}, here, now_);
-    NoteInstances(pool_, {{here, 3}, {there, 4}});
+    pool_.shares.instances = {{here, 3}, {there, 4}};
     pool_.probes_per_s = 1000;
   }
 
@@ -313,9 +313,9 @@
   cold.id = BackendServerId("i2");
   Apply({cold}, {BackendServerId("i1")});
   EXPECT_TRUE(Choose().empty());
-  NoteInstances(pool_, {{here, 3}});
+  pool_.shares.instances = {{here, 3}};
   EXPECT_EQ(Choose().value(), "i2");
-  NoteInstances(pool_, {{here, 3}, {there, 4}});
+  pool_.shares.instances = {{here, 3}, {there, 4}};
   now_ += seconds(3);
   EXPECT_EQ(Choose().value(), "i2");
 }
@@ -323,7 +323,7 @@
 // Guards against a cold server that many instances send one request a second
 // each.
 TEST_F(DiscoveredServersTest, SmallColdSharesAreSpreadOverTime) {
-  NoteInstances(pool_, {{here, 36}});
+  pool_.shares.instances = {{here, 36}};
   ServerRecord cold = Record(1, here);
   cold.cold_remaining = seconds(60);
   Apply({cold});
