Lead from a failed request's id to its cause

Requests that came before an instance had a document were logged without their id; a lost connection was shown with the status 200, the default of an empty header; no metric told how long requests wait for servers; no page told on-call engineers how to read any of it.

Ruled out: histograms by route and service (their number grows with the document; the log has the route of each request).

Tests that failed first: RequestLinesTest.RequestWithoutDocumentIsNamed, RequestLinesTest.LostConnectionHasNoStatus, MetricsTest. TimesAreCumulativeBuckets (new: no histogram before).

--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "process/error_kind.h"
+#include "process/time_counts.h"
 
 namespace mangodoor {
 
@@ -31,6 +32,12 @@
   std::atomic<uint64_t> peer_messages_dropped{0};
   std::atomic<uint64_t> peer_protocol_errors{0};
   std::atomic<uint64_t> configuration_reads{0};
+  /** From the header of a request to its end. */
+  TimeCounts request_times;
+  /** How long requests waited for a backend server, each attempt. */
+  TimeCounts server_waits;
+  /** How long attempts took at their backend server. */
+  TimeCounts attempt_times;
 };
 
 }  // namespace mangodoor
--- a/src/process/status/io/metrics.cc
+++ b/src/process/status/io/metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -82,6 +83,37 @@
              counters.configuration_reads);
 }
 
+void AddHistogram(Registry& registry,
+                  const char* name,
+                  const char* help,
+                  const TimeCounts& times) {
+  prometheus::Histogram::BucketBoundaries bounds;
+  for (const std::chrono::milliseconds bound : kTimeBounds)
+    bounds.push_back(std::chrono::duration<double>(bound).count());
+  std::vector<double> counts;
+  for (const auto& count : times.counts)
+    counts.push_back(static_cast<double>(count.load()));
+  const Duration sum(times.sum_ns.load());
+  prometheus::BuildHistogram()
+      .Name(name)
+      .Help(help)
+      .Register(registry)
+      .Add({}, bounds)
+      .ObserveMultiple(counts, std::chrono::duration<double>(sum).count());
+}
+
+void AddTimes(Registry& registry, const Counters& counters) {
+  AddHistogram(registry, "mangodoor_request_seconds",
+               "Time from the header of a request to its end.",
+               counters.request_times);
+  AddHistogram(registry, "mangodoor_server_wait_seconds",
+               "Time that an attempt waited for a backend server.",
+               counters.server_waits);
+  AddHistogram(registry, "mangodoor_attempt_seconds",
+               "Time that an attempt took at its backend server.",
+               counters.attempt_times);
+}
+
 void AddErrors(Registry& registry, const Counters& counters) {
   auto& family = prometheus::BuildCounter()
                      .Name("mangodoor_errors_total")
@@ -175,6 +207,7 @@
   AddDataPath(registry, counters);
   AddControl(registry, counters);
   AddErrors(registry, counters);
+  AddTimes(registry, counters);
   AddInstance(registry, status);
   AddServers(registry, status.servers);
   AddAccounts(registry, status.accounts);
--- a/src/request/io/attempt_run.cc
+++ b/src/request/io/attempt_run.cc
@@ -183,6 +183,7 @@
     if (status < kStatusOk)
       continue;
     header_ = std::move(parser_->get().base());
+    has_header_ = true;
     if (AnswersThisRequest())
       break;
     if (!SkipBody(yield))
--- a/src/request/io/attempt_run.h
+++ b/src/request/io/attempt_run.h
@@ -56,7 +56,10 @@
   /** From the choice of the server until Run ended. */
   Duration latency() const { return result_.latency; }
   /** Status of the server's answer; 0 if none came. */
-  int status() const { return static_cast<int>(header_.result_int()); }
+  /** 0 until the head of the response has come. */
+  int status() const {
+    return has_header_ ? static_cast<int>(header_.result_int()) : 0;
+  }
   bool connection_was_reused() const { return was_reused_; }
   bool finished() const { return finished_; }
   bool aborted() const { return aborted_.has_value(); }
@@ -96,6 +99,7 @@
   AttemptResult result_;
   /** When the server was reserved; its latency counts from then. */
   TimePoint started_at_;
+  bool has_header_ = false;
   bool was_reused_ = false;
   bool finished_ = false;
 };
--- a/src/request/io/request_run.cc
+++ b/src/request/io/request_run.cc
@@ -54,7 +54,10 @@
 
 // Address requests are no requests to a backend server, and many.
 void RequestRun::WriteTrace() {
-  if (!context_.request_log || is_address_request_)
+  if (is_address_request_)
+    return;
+  ObserveTimes();
+  if (!context_.request_log)
     return;
   trace_.id = request_.id;
   trace_.caller = caller_.address;
@@ -74,6 +77,15 @@
   context_.request_log->Write(trace_);
 }
 
+void RequestRun::ObserveTimes() const {
+  Counters& counters = context_.tables.counters;
+  Observe(counters.request_times, Now() - trace_.began);
+  for (const AttemptTrace& attempt : race_.traces()) {
+    Observe(counters.server_waits, attempt.waited);
+    Observe(counters.attempt_times, attempt.took);
+  }
+}
+
 bool RequestRun::RunAndTrace(YieldContext yield) {
   try {
     return RunChecked(yield);
@@ -155,14 +167,14 @@
 }
 
 std::optional<ErrorKind> RequestRun::Prepare() {
-  request_.version = VersionInForce(context_.tables.versions);
-  if (!request_.version)
-    return ErrorKind::kConfigurationMissing;
   request_.host = std::string(View(header_[http::field::host]));
   request_.path = std::string(View(header_.target()));
-  request_.key_digest = KeyDigest();
   if (!context_.names.request_id.empty())
     request_.id = std::string(View(header_[context_.names.request_id]));
+  request_.version = VersionInForce(context_.tables.versions);
+  if (!request_.version)
+    return ErrorKind::kConfigurationMissing;
+  request_.key_digest = KeyDigest();
   request_.authorisation = Authorise(*request_.version, request_.host,
                                      request_.path, request_.key_digest);
   if (request_.authorisation.error)
--- a/src/request/io/request_run.h
+++ b/src/request/io/request_run.h
@@ -57,6 +57,7 @@
   bool Forward(YieldContext yield);
   bool RunAndTrace(YieldContext yield);
   void WriteTrace();
+  void ObserveTimes() const;
   bool Fail(const ErrorPlan& plan, YieldContext yield);
   bool Answer(const std::string& response, YieldContext yield);
   bool CloseCaller();
--- a/tests/connection/data_path_fixture.cc
+++ b/tests/connection/data_path_fixture.cc
@@ -32,9 +32,10 @@
   listener_ = std::make_unique<CallerListener>(
       workers_.context(), Endpoint{"127.0.0.1", 0},
       SessionContext{tables_, clock_, actions_, *pool_, attempts_, limits_,
-                     names_});
+                     names_, request_log_});
   EnterServiceAlone();
-  Apply(MakeTestVersion(1));
+  if (has_document_)
+    Apply(MakeTestVersion(1));
   listener_->Start();
   workers_.Start();
 }
--- a/tests/connection/data_path_fixture.h
+++ b/tests/connection/data_path_fixture.h
@@ -16,6 +16,7 @@
 #include "process/system_clock.h"
 #include "process/tables.h"
 #include "process/worker_pool.h"
+#include "request/io/request_log.h"
 
 namespace mangodoor {
 
@@ -65,6 +66,10 @@
   SystemClock clock_;
   Tables tables_;
   AttemptTable attempts_;
+  /** Set before Start, if requests are to be logged. */
+  RequestLog* request_log_ = nullptr;
+  /** False: the instance knows no document. */
+  bool has_document_ = true;
   testing::NiceMock<MockPeerTransport> peers_;
   ActionRunner actions_{peers_, [](const ChosenServer&) {}};
   WorkerPool workers_{2};
--- /dev/null
+++ b/tests/connection/request_lines_test.cc
@@ -0,0 +1,60 @@
+#include <nlohmann/json.hpp>
+
+#include "connection/data_path_fixture.h"
+#include "process/io/log.h"
+
+namespace mangodoor {
+namespace {
+
+using testing::HasSubstr;
+using testing::Not;
+
+class RequestLinesTest : public DataPathTest {
+ protected:
+  RequestLinesTest() {
+    ConfigureLog(LogLevel::kInfo);
+    names_.request_id = "X-Id";
+    request_log_ = &log_;
+  }
+
+  /** The line that one request leaves. */
+  nlohmann::json LineOf(const std::string& request) {
+    testing::internal::CaptureStdout();
+    Exchange(request);
+    listener_.reset();
+    const std::string text = testing::internal::GetCapturedStdout();
+    return nlohmann::json::parse(text.substr(0, text.find('\n')));
+  }
+
+ private:
+  RequestLog log_{clock_};
+};
+
+constexpr char kRequest[] =
+    "GET /open HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\n"
+    "Connection: close\r\n\r\n";
+
+// Guards against a failed request that cannot be found by its id because the
+// instance had just started.
+TEST_F(RequestLinesTest, RequestWithoutDocumentIsNamed) {
+  has_document_ = false;
+  StartWith(AnswerAll("ok"));
+  const auto line = LineOf(kRequest);
+  EXPECT_EQ(line["id"], "r-1");
+  EXPECT_EQ(line["error"], "configuration_missing");
+  EXPECT_EQ(line["route"], "a");
+}
+
+// Guards against a line that shows the status 200 for a server that closed the
+// connection without a response.
+TEST_F(RequestLinesTest, LostConnectionHasNoStatus) {
+  StartWith([](TestConnection& connection) { connection.ReadMessage(); });
+  const auto line = LineOf(kRequest);
+  EXPECT_EQ(line["id"], "r-1");
+  const std::string attempts = line["attempts"];
+  EXPECT_THAT(attempts, HasSubstr("connection_lost"));
+  EXPECT_THAT(attempts, Not(HasSubstr("200")));
+}
+
+}  // namespace
+}  // namespace mangodoor
--- a/tests/operators/documentation_test.cc
+++ b/tests/operators/documentation_test.cc
@@ -97,6 +97,23 @@
             names_in(text, R"(# HELP (mangodoor_\w+) )"));
 }
 
+// Guards against a histogram that a standard reader takes for something else:
+// buckets are cumulative, the last one counts everything.
+TEST(MetricsTest, TimesAreCumulativeBuckets) {
+  Counters counters;
+  for (const int ms : {1, 3, 150, 9000})
+    Observe(counters.request_times, std::chrono::milliseconds(ms));
+  const std::string text = MetricsText(counters, InstanceStatus());
+  const std::string bucket = "mangodoor_request_seconds_bucket{le=";
+  EXPECT_THAT(text, HasSubstr(bucket + "\"0.001\"} 1\n"));
+  EXPECT_THAT(text, HasSubstr(bucket + "\"0.005\"} 2\n"));
+  EXPECT_THAT(text, HasSubstr(bucket + "\"0.2\"} 3\n"));
+  EXPECT_THAT(text, HasSubstr(bucket + "\"5\"} 3\n"));
+  EXPECT_THAT(text, HasSubstr(bucket + "\"+Inf\"} 4\n"));
+  EXPECT_THAT(text, HasSubstr("mangodoor_request_seconds_count 4\n"));
+  EXPECT_THAT(text, HasSubstr("mangodoor_request_seconds_sum 9.154\n"));
+}
+
 void ExpectFields(const Json& schema, const Json& value, const char* what) {
   SCOPED_TRACE(what);
   std::set<std::string> in_schema;
