Soak the fleet of real processes with overlapping faults

Cause: the promises were shown with one fault at a time. The users ask for a randomized soak of the real programs, with faults from outside them.

Ruled out: the product's own fleet harness (its instances use the instance list, which the platform has not); relays between instances (an instance is known by the endpoint that it listens on, so a relay would be another instance); clock steps from outside, which need preloading: they stay tests of the clock's interface.

Now mangodoor-soak plays a seed: instances and servers killed, paused, stopped and started, links of callers, servers and the store silent, silent one way, late or reset, the store busy, silent or without history, versions and evacuations, in overlapping series. It checks at most one run, true refusals, own answers, no unasked run, no key at servers, versions in force in time and without regress at instances in touch, evacuations, planned stops, processes that end by themselves, and recovery. Each check finds a deliberate fault (SoakRecordTest).

Trace: a version was replaced, and an evacuation lifted, some milliseconds before the answer came to a question that was sent before; the answer was right. The checks now go by the time of the answer (ReplacedVersionIsNoRegress, RunInEvacuatedZoneIsFound). No fault of the product was found.

--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,9 @@
 	@$(BUILD)/bench-data-path --json $(BUILD)/bench.json
 	@$(BUILD)/bench-limits --json $(BUILD)/bench.json
 	@$(BUILD)/bench-routing --json $(BUILD)/bench.json
+
+.PHONY: soak
+SEED ?= $(shell date +%s)
+MINUTES ?= 3
+soak: build
+	@$(BUILD)/mangodoor-soak --seed $(SEED) --seeds $$(( $(MINUTES) * 2 ))
--- a/tests/fleet/harness/cut_relay.cc
+++ b/tests/fleet/harness/cut_relay.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <list>
 #include <thread>
@@ -16,6 +17,9 @@
 using asio::ip::tcp;
 
 constexpr size_t kBufferSize = 16384;
+constexpr std::chrono::milliseconds kLateness{120};
+
+enum class Way { kToTarget, kToCaller };
 
 tcp::endpoint ToAsio(const Endpoint& endpoint) {
   return {asio::ip::make_address(endpoint.address), endpoint.port};
@@ -32,6 +36,14 @@
     target.close(ignored);
   }
 
+  void Reset() {
+    // Closing then sends a reset.
+    boost::system::error_code ignored;
+    caller.set_option(asio::socket_base::linger(true, 0), ignored);
+    target.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   tcp::socket caller;
   tcp::socket target;
   std::array<char, kBufferSize> to_target;
@@ -55,42 +67,59 @@
             return;
           auto link = std::make_shared<Link>(std::move(socket), context);
           links.push_back(link);
-          if (!cut)
+          if (fault != LinkFault::kSilent)
             Connect(link);
           Accept();
         });
   }
 
   void Connect(const std::shared_ptr<Link>& link) {
-    link->target.async_connect(
-        target, [this, link](boost::system::error_code error) {
-          if (error)
-            return link->Close();
-          Copy(link, link->caller, link->target, link->to_target);
-          Copy(link, link->target, link->caller, link->to_caller);
-        });
+    link->target.async_connect(target,
+                               [this, link](boost::system::error_code error) {
+                                 if (error)
+                                   return link->Close();
+                                 Copy(link, Way::kToTarget);
+                                 Copy(link, Way::kToCaller);
+                               });
   }
 
-  void Copy(const std::shared_ptr<Link>& link,
-            tcp::socket& from,
-            tcp::socket& to,
-            std::array<char, kBufferSize>& buffer) {
+  // Bytes that are held stay here, and nothing more is read.
+  bool Holds(Way way) const {
+    return fault == LinkFault::kSilent ||
+           (way == Way::kToTarget && fault == LinkFault::kNothingToTarget) ||
+           (way == Way::kToCaller && fault == LinkFault::kNothingToCaller);
+  }
+
+  void Copy(const std::shared_ptr<Link>& link, Way way) {
+    const bool to_target = way == Way::kToTarget;
+    tcp::socket& from = to_target ? link->caller : link->target;
+    auto& buffer = to_target ? link->to_target : link->to_caller;
     from.async_read_some(
         asio::buffer(buffer),
-        [this, link, &from, &to, &buffer](boost::system::error_code error,
-                                          size_t size) {
-          // While cut, bytes stay here and nothing more is read.
-          if (cut)
+        [this, link, way](boost::system::error_code error, size_t size) {
+          if (Holds(way))
             return;
           if (error)
             return link->Close();
-          asio::async_write(to, asio::buffer(buffer, size),
-                            [this, link, &from, &to, &buffer](
-                                boost::system::error_code write_error, size_t) {
-                              if (write_error)
-                                return link->Close();
-                              Copy(link, from, to, buffer);
-                            });
+          if (fault != LinkFault::kLate)
+            return Write(link, way, size);
+          auto timer = std::make_shared<asio::steady_timer>(context, kLateness);
+          timer->async_wait(
+              [this, link, way, size, timer](boost::system::error_code) {
+                Write(link, way, size);
+              });
+        });
+  }
+
+  void Write(const std::shared_ptr<Link>& link, Way way, size_t size) {
+    const bool to_target = way == Way::kToTarget;
+    asio::async_write(
+        to_target ? link->target : link->caller,
+        asio::buffer(to_target ? link->to_target : link->to_caller, size),
+        [this, link, way](boost::system::error_code error, size_t) {
+          if (error)
+            return link->Close();
+          Copy(link, way);
         });
   }
 
@@ -103,7 +132,7 @@
   asio::io_context context;
   tcp::endpoint target;
   tcp::acceptor acceptor;
-  bool cut = false;
+  LinkFault fault = LinkFault::kNone;
   // Links that are cut have no pending operation that would keep them.
   std::list<std::shared_ptr<Link>> links;
   std::thread thread;
@@ -118,13 +147,25 @@
 }
 
 void CutRelay::Cut() {
-  asio::post(impl_->context, [this] { impl_->cut = true; });
+  SetFault(LinkFault::kSilent);
 }
 
 void CutRelay::Heal() {
   asio::post(impl_->context, [this] {
     impl_->CloseAll();
-    impl_->cut = false;
+    impl_->fault = LinkFault::kNone;
+  });
+}
+
+void CutRelay::SetFault(LinkFault fault) {
+  asio::post(impl_->context, [this, fault] { impl_->fault = fault; });
+}
+
+void CutRelay::Reset() {
+  asio::post(impl_->context, [this] {
+    for (const auto& link : impl_->links)
+      link->Reset();
+    impl_->links.clear();
   });
 }
 
--- a/tests/fleet/harness/cut_relay.h
+++ b/tests/fleet/harness/cut_relay.h
@@ -7,6 +7,19 @@
 
 namespace mangodoor {
 
+/** What a relay does to the connections that it forwards. */
+enum class LinkFault {
+  kNone,
+  /** Bytes are held both ways, and nothing is closed. */
+  kSilent,
+  /** Bytes to the target are held. */
+  kNothingToTarget,
+  /** Bytes to the caller are held. */
+  kNothingToCaller,
+  /** Every piece of data arrives late. */
+  kLate,
+};
+
 /** Forwards TCP connections to a target until it is cut. */
 class CutRelay {
  public:
@@ -19,6 +32,11 @@
   /** Closes what was cut and forwards new connections. */
   void Heal();
 
+  void SetFault(LinkFault fault);
+
+  /** Resets all connections. */
+  void Reset();
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -20,6 +20,9 @@
 constexpr int kInstanceGroup = 1;
 constexpr int kServerGroup = 2;
 constexpr int kStoreGroup = 3;
+constexpr int kCallerRelayGroup = 4;
+constexpr int kStoreRelayGroup = 5;
+constexpr int kServerRelayGroup = 6;
 
 constexpr int kFrontPort = 8100;
 constexpr int kReadyPort = 8101;
@@ -62,6 +65,8 @@
                                ToString({Host(kStoreGroup, 0), kStorePort})},
       folder_ + "/store.log");
   WaitFor([this] { return store_calls() >= 0; }, std::chrono::seconds(5));
+  if (plan_.relays)
+    StartRelays();
   servers_.resize(Index(servers()));
   instances_.resize(Index(plan_.instances));
   for (int i = 0; i < servers(); ++i)
@@ -89,6 +94,41 @@
   return {Host(kInstanceGroup, index), static_cast<uint16_t>(port)};
 }
 
+Endpoint PlatformFleet::server_address(int index) const {
+  return {Host(kServerGroup, index), kServerPort};
+}
+
+Endpoint PlatformFleet::announced_address(int index) const {
+  return plan_.relays ? Endpoint{Host(kServerRelayGroup, index), kServerPort}
+                      : server_address(index);
+}
+
+Endpoint PlatformFleet::store_of(int instance) const {
+  return plan_.relays ? Endpoint{Host(kStoreRelayGroup, instance), kStorePort}
+                      : Endpoint{Host(kStoreGroup, 0), kStorePort};
+}
+
+void PlatformFleet::StartRelays() {
+  for (int i = 0; i < plan_.instances; ++i) {
+    caller_relays_[i] = std::make_unique<CutRelay>(
+        Endpoint{Host(kCallerRelayGroup, i), kFrontPort}, caller(i));
+    store_relays_[i] = std::make_unique<CutRelay>(
+        store_of(i), Endpoint{Host(kStoreGroup, 0), kStorePort});
+  }
+  for (int i = 0; i < servers(); ++i) {
+    server_relays_[i] =
+        std::make_unique<CutRelay>(announced_address(i), server_address(i));
+  }
+}
+
+Endpoint PlatformFleet::RouteTo(const Endpoint& address) const {
+  for (int i = 0; plan_.relays && i < plan_.instances; ++i) {
+    if (address == caller(i))
+      return {Host(kCallerRelayGroup, i), kFrontPort};
+  }
+  return address;
+}
+
 Endpoint PlatformFleet::caller(int index) const {
   return Address(index, kFrontPort);
 }
@@ -98,29 +138,28 @@
   Json seeds = Json::array();
   for (int i = 0; i < std::min(3, plan_.instances); ++i)
     seeds.push_back(ToString(Address(i, kControlPort)));
-  return {
-      {"Node", "front-" + std::to_string(index)},
-      {"Ip", Host(kInstanceGroup, index)},
-      {"Zone", "zone-" + std::to_string(index % plan_.zones)},
-      {"Seeds", seeds},
-      {"InternalPorts", {kAdminPort, kAdminPort + 10}},
-      {"Limits", {{"Cores", 1}, {"CpuShare", 0.2}}},
-      {"Listen",
-       {{"Front", ToString(Address(index, kFrontPort))},
-        {"Ready", ToString(Address(index, kReadyPort))},
-        {"Control", ToString(Address(index, kControlPort))},
-        {"Directory", ToString(Address(index, kDirectoryPort))}}},
-      {"Platform", {{"Address", ToString({Host(kStoreGroup, 0), kStorePort})}}},
-      {"Bounds",
-       {{"QuotaWindowS", 5},
-        {"QuotaOverage", 0.25},
-        {"QuotaSlack", 20},
-        {"BudgetRatio", 0.2},
-        {"BudgetWindowS", 10},
-        {"BudgetSlack", 58},
-        {"GraceS", 6},
-        {"ProbesPerS", 60},
-        {"FailClosed", false}}}};
+  return {{"Node", "front-" + std::to_string(index)},
+          {"Ip", Host(kInstanceGroup, index)},
+          {"Zone", "zone-" + std::to_string(index % plan_.zones)},
+          {"Seeds", seeds},
+          {"InternalPorts", {kAdminPort, kAdminPort + 10}},
+          {"Limits", {{"Cores", 1}, {"CpuShare", 0.2}}},
+          {"Listen",
+           {{"Front", ToString(Address(index, kFrontPort))},
+            {"Ready", ToString(Address(index, kReadyPort))},
+            {"Control", ToString(Address(index, kControlPort))},
+            {"Directory", ToString(Address(index, kDirectoryPort))}}},
+          {"Platform", {{"Address", ToString(store_of(index))}}},
+          {"Bounds",
+           {{"QuotaWindowS", 5},
+            {"QuotaOverage", 0.25},
+            {"QuotaSlack", 20},
+            {"BudgetRatio", 0.2},
+            {"BudgetWindowS", 10},
+            {"BudgetSlack", 58},
+            {"GraceS", 6},
+            {"ProbesPerS", 60},
+            {"FailClosed", false}}}};
 }
 
 std::string PlatformFleet::SettingsPath(int index) const {
@@ -147,13 +186,14 @@
 
 void PlatformFleet::StartServer(int index) {
   servers_.at(Index(index)) = std::make_unique<ChildProcess>(
-      std::vector<std::string>{
-          ProgramPath("standin-platform-server"), "-l",
-          ToString({Host(kServerGroup, index), kServerPort}), "-t",
-          ToString({Host(kStoreGroup, 0), kStorePort}), "-i",
-          "i-" + std::to_string(index), "-s", "work", "-z",
-          "zone-" + std::to_string(zone_of_server(index)), "-w",
-          std::to_string(plan_.work_ms)},
+      std::vector<std::string>{ProgramPath("standin-platform-server"), "-l",
+                               ToString(server_address(index)), "-a",
+                               ToString(announced_address(index)), "-t",
+                               ToString({Host(kStoreGroup, 0), kStorePort}),
+                               "-i", "i-" + std::to_string(index), "-s", "work",
+                               "-z",
+                               "zone-" + std::to_string(zone_of_server(index)),
+                               "-w", std::to_string(plan_.work_ms)},
       folder_ + "/server-" + std::to_string(index) + ".log");
 }
 
@@ -268,8 +308,8 @@
 }
 
 Json PlatformFleet::ServerCounters(int index) const {
-  const HttpReply reply = CallOnce({Host(kServerGroup, index), kServerPort},
-                                   {"GET", "/standin/counters", {}, ""});
+  const HttpReply reply =
+      CallOnce(server_address(index), {"GET", "/standin/counters", {}, ""});
   return Json::parse(reply.body, nullptr, false);
 }
 
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -2,6 +2,7 @@
 #define TESTS_PLATFORM_FLEET_PLATFORM_FLEET_H_
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "fleet/harness/child_process.h"
+#include "fleet/harness/cut_relay.h"
 #include "fleet/harness/http_client.h"
 #include "process/ordered_mutex.h"
 
@@ -21,6 +23,9 @@
   int zones = 2;
   int servers_per_zone = 2;
   int work_ms = 20;
+  /** Relays before servers, callers' ports and, for each instance, the store.
+   */
+  bool relays = false;
 };
 
 /** The platform's stand-ins and real instances on loopback addresses. */
@@ -41,6 +46,13 @@
   void KillInstance(int index) { instances_.at(Index(index)).reset(); }
   ChildProcess& server(int index) { return *servers_.at(Index(index)); }
   void KillServer(int index) { servers_.at(Index(index)).reset(); }
+  /** False while the process is killed and not started again. */
+  bool HasInstance(int index) const {
+    return instances_.at(Index(index)) != nullptr;
+  }
+  bool HasServer(int index) const {
+    return servers_.at(Index(index)) != nullptr;
+  }
   int instances() const { return plan_.instances; }
   int servers() const { return plan_.zones * plan_.servers_per_zone; }
   int zone_of_server(int index) const { return index % plan_.zones; }
@@ -64,6 +76,11 @@
   /** Addresses that an instance's directory names. */
   std::vector<Endpoint> Lookup(int index) const;
   Endpoint caller(int index) const;
+  /** Where a caller connects to that was told `address`. */
+  Endpoint RouteTo(const Endpoint& address) const;
+  CutRelay& caller_relay(int instance) { return *caller_relays_.at(instance); }
+  CutRelay& store_relay(int instance) { return *store_relays_.at(instance); }
+  CutRelay& server_relay(int server) { return *server_relays_.at(server); }
   /** A call with the key, over a connection of its own. */
   HttpReply Call(const Endpoint& address,
                  const std::string& id,
@@ -77,6 +94,10 @@
  private:
   static size_t Index(int index) { return static_cast<size_t>(index); }
   std::string Host(int group, int index) const;
+  Endpoint server_address(int index) const;
+  Endpoint announced_address(int index) const;
+  Endpoint store_of(int instance) const;
+  void StartRelays();
   Endpoint Address(int index, int port) const;
   nlohmann::json Fields(int index) const;
   std::string SettingsPath(int index) const;
@@ -88,6 +109,9 @@
   std::string network_;
   std::string folder_;
   std::unique_ptr<ChildProcess> store_;
+  std::map<int, std::unique_ptr<CutRelay>> caller_relays_;
+  std::map<int, std::unique_ptr<CutRelay>> store_relays_;
+  std::map<int, std::unique_ptr<CutRelay>> server_relays_;
   std::vector<std::unique_ptr<ChildProcess>> servers_;
   std::vector<std::unique_ptr<ChildProcess>> instances_;
 };
