--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -71,7 +71,9 @@
 /** Everything that lives as long as the process, in the order of its use. */
 class FleetProcess {
  public:
-  FleetProcess(const Settings& settings, const PlatformInterface& platform);
+  FleetProcess(const Settings& settings,
+               std::string settings_path,
+               const PlatformInterface& platform);
 
   int Run();
 
@@ -97,7 +99,15 @@
   void FinishPlannedStop();
   void End();
 
+  std::shared_ptr<const Settings> CurrentSettings() const;
+  void Reload();
+  void Adopt(const Settings& settings);
+
+  /** As the process was started: endpoints do not change afterwards. */
   const Settings& settings_;
+  const std::string settings_path_;
+  /** As the file says now; replaced as a whole. */
+  std::shared_ptr<const Settings> current_settings_;
   const PlatformInterface& platform_;
   SystemClock clock_;
   Tables tables_;
@@ -127,8 +137,11 @@
 };
 
 FleetProcess::FleetProcess(const Settings& settings,
+                           std::string settings_path,
                            const PlatformInterface& platform)
     : settings_(settings),
+      settings_path_(std::move(settings_path)),
+      current_settings_(std::make_shared<const Settings>(settings)),
       platform_(platform),
       pool_(settings.worker_threads),
       hub_(pool_.context(),
@@ -168,15 +181,47 @@
       idle_ticker_(pool_.context(),
                    kIdleTick,
                    [this] { backends_.CloseIdle(clock_.Now()); }),
-      signals_(pool_.context(), SIGTERM, SIGINT),
+      signals_(pool_.context(), SIGTERM, SIGINT, SIGHUP),
       stop_timer_(pool_.context()) {
   tables_.membership.self = settings.self;
   tables_.membership.own_state = InstanceState::kServing;
   tables_.versions.options.fence_when_stale = settings.fleet->fenced_when_stale;
-  tables_.usage.book.tolerance = settings.fleet->tolerance;
-  attempts_.policy = settings.fleet->retries;
   fleet_.book = StartBook(OwnMember(settings, clock_));
-  fleet_.seeds = settings.fleet->seeds;
+  Adopt(settings);
+}
+
+/** Takes over what may change while the process runs. */
+void FleetProcess::Adopt(const Settings& settings) {
+  {
+    OrderedLock lock(fleet_.mutex);
+    fleet_.seeds = settings.fleet->seeds;
+  }
+  {
+    OrderedLock lock(tables_.usage.mutex);
+    tables_.usage.book.tolerance = settings.fleet->tolerance;
+  }
+  OrderedLock lock(attempts_.mutex);
+  attempts_.policy = settings.fleet->retries;
+}
+
+std::shared_ptr<const Settings> FleetProcess::CurrentSettings() const {
+  return std::atomic_load(&current_settings_);
+}
+
+void FleetProcess::Reload() {
+  try {
+    auto settings =
+        std::make_shared<const Settings>(LoadSettings(settings_path_));
+    if (!settings->fleet)
+      throw std::runtime_error(settings_path_ + ": /fleet: absent");
+    Adopt(*settings);
+    std::atomic_store(&current_settings_,
+                      std::shared_ptr<const Settings>(settings));
+    Log(LogLevel::kInfo, "settings_reloaded", {{"path", settings_path_}});
+  } catch (const std::exception& error) {
+    // The settings in use stay.
+    Log(LogLevel::kError, "settings_rejected", {{"fault", error.what()}});
+  }
 }
 
 int FleetProcess::Run() {
@@ -373,7 +418,7 @@
     inputs.capacity = CapacityOf(
         tables_.servers, ServicesOf(*version, query.host), clock_.Now());
   }
-  return {PlanAddresses(inputs), settings_.fleet->address_keep};
+  return {PlanAddresses(inputs), CurrentSettings()->fleet->address_keep};
 }
 
 bool FleetProcess::IsReady() const {
@@ -381,23 +426,29 @@
 }
 
 void FleetProcess::WaitForSignal() {
-  signals_.async_wait([this](const boost::system::error_code& error, int) {
-    if (error)
-      return;
-    if (stopping_) {
-      // A second signal means that the operator does not want to wait.
-      Log(LogLevel::kWarning, "stopped_without_waiting");
-      pool_.context().stop();
-      return;
-    }
-    stopping_ = true;
-    BeginPlannedStop();
-    WaitForSignal();
-  });
+  signals_.async_wait(
+      [this](const boost::system::error_code& error, int signal) {
+        if (error)
+          return;
+        if (signal == SIGHUP) {
+          Reload();
+          WaitForSignal();
+          return;
+        }
+        if (stopping_) {
+          // A second signal means that the operator does not want to wait.
+          Log(LogLevel::kWarning, "stopped_without_waiting");
+          pool_.context().stop();
+          return;
+        }
+        stopping_ = true;
+        BeginPlannedStop();
+        WaitForSignal();
+      });
 }
 
 void FleetProcess::BeginPlannedStop() {
-  const auto listen = Part(settings_.fleet->stop_grace, kListenPart);
+  const auto listen = Part(CurrentSettings()->fleet->stop_grace, kListenPart);
   Log(LogLevel::kInfo, "leaving", {{"listen_ms", listen.count()}});
   BeginLeaving(fleet_, clock_.Now());
   BeginLeaving(tables_.membership);
@@ -410,7 +461,7 @@
 
 void FleetProcess::FinishPlannedStop() {
   listener_.Drain([this] { End(); });
-  const auto& grace = settings_.fleet->stop_grace;
+  const auto grace = CurrentSettings()->fleet->stop_grace;
   stop_timer_.expires_after(Part(grace, kFinishPart) -
                             Part(grace, kListenPart));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -434,8 +485,9 @@
 }  // namespace
 
 int RunFleetInstance(const Settings& settings,
+                     const std::string& settings_path,
                      const PlatformInterface& platform) {
-  return FleetProcess(settings, platform).Run();
+  return FleetProcess(settings, settings_path, platform).Run();
 }
 
 }  // namespace mangodoor
--- a/src/process/io/fleet_process.h
+++ b/src/process/io/fleet_process.h
@@ -46,9 +46,11 @@
 
 /**
  * Runs an instance of a fleet without an instance list until a planned stop
- * has finished. Returns the exit status. Throws if it cannot listen.
+ * has finished. SIGHUP makes it read `settings_path` again. Returns the exit
+ * status. Throws if it cannot listen.
  */
 int RunFleetInstance(const Settings& settings,
+                     const std::string& settings_path,
                      const PlatformInterface& platform);
 
 }  // namespace mangodoor
--- a/tests/fleet/harness/child_process.cc
+++ b/tests/fleet/harness/child_process.cc
@@ -71,4 +71,8 @@
   }
 }
 
+std::string BinaryFolder() {
+  return MANGODOOR_BINARY_DIR;
+}
+
 }  // namespace mangodoor
--- a/tests/fleet/harness/child_process.h
+++ b/tests/fleet/harness/child_process.h
@@ -30,6 +30,9 @@
   pid_t pid_ = -1;
 };
 
+/** The folder of the programs under test. */
+std::string BinaryFolder();
+
 }  // namespace mangodoor
 
 #endif  // TESTS_FLEET_HARNESS_CHILD_PROCESS_H_
--- /dev/null
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -0,0 +1,368 @@
+#include "platform_fleet/platform_fleet.h"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "fleet/harness/test_fleet.h"
+#include "operators/repository.h"
+#include "platform_fleet/template.h"
+
+namespace mangodoor {
+namespace {
+
+using Json = nlohmann::json;
+namespace fs = std::filesystem;
+
+// Host numbers inside the test's own /16 of the loopback network.
+constexpr int kInstanceGroup = 1;
+constexpr int kServerGroup = 2;
+constexpr int kStoreGroup = 3;
+
+constexpr int kFrontPort = 8100;
+constexpr int kReadyPort = 8101;
+constexpr int kControlPort = 8102;
+constexpr int kDirectoryPort = 8103;
+constexpr int kAdminPort = 8104;
+constexpr int kServerPort = 9000;
+constexpr int kStorePort = 7100;
+
+// Tests run side by side in several processes.
+std::string NetworkOfThisProcess() {
+  constexpr int kFirst = 20;
+  constexpr int kCount = 200;
+  return "127." + std::to_string(kFirst + getpid() % kCount) + ".";
+}
+
+std::string ProgramPath(const std::string& name) {
+  return BinaryFolder() + "/" + name;
+}
+
+std::string Hexadecimal(uint64_t number) {
+  std::ostringstream text;
+  text.width(8);
+  text.fill('0');
+  text << std::hex << number;
+  return text.str();
+}
+
+}  // namespace
+
+PlatformFleet::PlatformFleet(const PlatformPlan& plan)
+    : plan_(plan), network_(NetworkOfThisProcess()) {
+  folder_ = (fs::temp_directory_path() /
+             ("mangodoor-platform-" + std::to_string(getpid())))
+                .string();
+  fs::remove_all(folder_);
+  fs::create_directories(folder_);
+  store_ = std::make_unique<ChildProcess>(
+      std::vector<std::string>{ProgramPath("standin-platform-store"), "-l",
+                               ToString({Host(kStoreGroup, 0), kStorePort})},
+      folder_ + "/store.log");
+  WaitFor([this] { return store_calls() >= 0; }, std::chrono::seconds(5));
+  servers_.resize(Index(servers()));
+  instances_.resize(Index(plan_.instances));
+  for (int i = 0; i < servers(); ++i)
+    StartServer(i);
+  for (int i = 0; i < plan_.instances; ++i) {
+    WriteSettings(i, Json::object());
+    StartInstance(i);
+  }
+  Publish();
+}
+
+PlatformFleet::~PlatformFleet() {
+  instances_.clear();
+  servers_.clear();
+  store_.reset();
+  if (!std::getenv("MANGODOOR_KEEP_LOGS"))
+    fs::remove_all(folder_);
+}
+
+std::string PlatformFleet::Host(int group, int index) const {
+  return network_ + std::to_string(group) + "." + std::to_string(index + 1);
+}
+
+Endpoint PlatformFleet::Address(int index, int port) const {
+  return {Host(kInstanceGroup, index), static_cast<uint16_t>(port)};
+}
+
+Endpoint PlatformFleet::caller(int index) const {
+  return Address(index, kFrontPort);
+}
+
+// The fields that the platform fills into the template.
+Json PlatformFleet::Fields(int index) const {
+  Json seeds = Json::array();
+  for (int i = 0; i < std::min(3, plan_.instances); ++i)
+    seeds.push_back(ToString(Address(i, kControlPort)));
+  return {
+      {"Node", "front-" + std::to_string(index)},
+      {"Ip", Host(kInstanceGroup, index)},
+      {"Zone", "zone-" + std::to_string(index % plan_.zones)},
+      {"Seeds", seeds},
+      {"InternalPorts", {kAdminPort, kAdminPort + 10}},
+      {"Limits", {{"Cores", 1}, {"CpuShare", 0.2}}},
+      {"Listen",
+       {{"Front", ToString(Address(index, kFrontPort))},
+        {"Ready", ToString(Address(index, kReadyPort))},
+        {"Control", ToString(Address(index, kControlPort))},
+        {"Directory", ToString(Address(index, kDirectoryPort))}}},
+      {"Platform", {{"Address", ToString({Host(kStoreGroup, 0), kStorePort})}}},
+      {"Bounds",
+       {{"QuotaWindowS", 5},
+        {"QuotaOverage", 0.25},
+        {"QuotaSlack", 20},
+        {"BudgetRatio", 0.2},
+        {"BudgetWindowS", 10},
+        {"BudgetSlack", 58},
+        {"GraceS", 6},
+        {"FailClosed", false}}}};
+}
+
+std::string PlatformFleet::SettingsPath(int index) const {
+  return folder_ + "/settings-" + std::to_string(index) + ".json";
+}
+
+void PlatformFleet::WriteSettings(int index, const Json& changes) {
+  Json fields = Fields(index);
+  fields.merge_patch(changes);
+  WriteSettingsText(
+      index, RenderTemplate(RepositoryFile("platform/settings.json"), fields));
+}
+
+void PlatformFleet::WriteSettingsText(int index, const std::string& text) {
+  std::ofstream(SettingsPath(index)) << text;
+}
+
+void PlatformFleet::StartInstance(int index) {
+  instances_.at(Index(index)) = std::make_unique<ChildProcess>(
+      std::vector<std::string>{ProgramPath("mangodoor-platform"), "-s",
+                               SettingsPath(index)},
+      folder_ + "/instance-" + std::to_string(index) + ".log");
+}
+
+void PlatformFleet::StartServer(int index) {
+  servers_.at(Index(index)) = std::make_unique<ChildProcess>(
+      std::vector<std::string>{
+          ProgramPath("standin-platform-server"), "-l",
+          ToString({Host(kServerGroup, index), kServerPort}), "-t",
+          ToString({Host(kStoreGroup, 0), kStorePort}), "-i",
+          "i-" + std::to_string(index), "-s", "work", "-z",
+          "zone-" + std::to_string(zone_of_server(index)), "-w",
+          std::to_string(plan_.work_ms)},
+      folder_ + "/server-" + std::to_string(index) + ".log");
+}
+
+bool PlatformFleet::IsReady(int index) const {
+  return CallOnce(Address(index, kReadyPort), {"GET", "/readiness", {}, ""})
+             .status == 200;
+}
+
+bool PlatformFleet::WaitUntilReady(std::chrono::milliseconds timeout) {
+  return WaitFor(
+      [this] {
+        for (int i = 0; i < plan_.instances; ++i) {
+          if (!IsReady(i) || Call(caller(i), "ready").status != 200)
+            return false;
+        }
+        return true;
+      },
+      timeout);
+}
+
+void PlatformFleet::StoreItem(const std::string& method,
+                              const std::string& key,
+                              const std::string& value) const {
+  CallOnce({Host(kStoreGroup, 0), kStorePort},
+           {method, "/standin/item?key=" + key, {}, value});
+}
+
+void PlatformFleet::Publish() {
+  ++version;
+  const auto route = [](const std::string& prefix, const char* kind) {
+    return Json{{"ResourceKind", "Routes"},
+                {"Metadata", {{"Name", prefix}}},
+                {"Spec",
+                 {{"Host", kHost},
+                  {"Prefix", prefix},
+                  {"Kind", kind},
+                  {"TimeoutMs", 2000},
+                  {"TargetLatencyMs", 200},
+                  {"Priority", 1},
+                  {"Service", "work"},
+                  {"MaxAttempts", 2},
+                  {"Public", false}}}};
+  };
+  Json resources = {route("/work/", "safe"), route("/order/", "unsafe")};
+  if (!extra_prefix.empty())
+    resources.push_back(route(extra_prefix, "safe"));
+  resources.push_back(
+      {{"ResourceKind", "Services"},
+       {"Metadata", {{"Name", "work"}}},
+       {"Spec", {{"HealthPath", "/health"}, {"MaxConns", 200}}}});
+  resources.push_back(
+      {{"ResourceKind", "Tenants"},
+       {"Metadata", {{"Name", "tenant"}}},
+       {"Spec",
+        {{"ApiKeys", Json::array({key_withdrawn ? "another" : kKey})},
+         {"RatePerS", tenant_rate_per_s},
+         {"Burst", static_cast<int>(tenant_rate_per_s)}}}});
+  StoreItem(
+      "PUT", "op/config",
+      Json{{"Version", Hexadecimal(version)}, {"Resources", resources}}.dump());
+}
+
+void PlatformFleet::Evacuate(int zone, bool out) {
+  StoreItem(out ? "PUT" : "DELETE", "op/evacuate/zone-" + std::to_string(zone),
+            "{}");
+}
+
+void PlatformFleet::SetStoreMode(const std::string& mode) {
+  CallOnce({Host(kStoreGroup, 0), kStorePort},
+           {"PUT", "/standin/mode", {}, mode});
+}
+
+void PlatformFleet::CompactStore() {
+  CallOnce({Host(kStoreGroup, 0), kStorePort},
+           {"POST", "/standin/compact", {}, ""});
+}
+
+int PlatformFleet::store_calls() const {
+  const HttpReply reply = CallOnce({Host(kStoreGroup, 0), kStorePort},
+                                   {"GET", "/standin/calls", {}, ""});
+  const Json json = Json::parse(reply.body, nullptr, false);
+  return json.is_object() ? json.value("calls", -1) : -1;
+}
+
+std::vector<Endpoint> PlatformFleet::Lookup(int index) const {
+  const HttpReply reply =
+      CallOnce(Address(index, kDirectoryPort),
+               {"GET",
+                std::string("/lookup?Name=") + kHost + "&Region=r&Zone=zone-0",
+                {},
+                ""});
+  std::vector<Endpoint> addresses;
+  const Json json = Json::parse(reply.body, nullptr, false);
+  if (reply.status != 200 || !json.is_object())
+    return addresses;
+  for (const Json& address : json["Addresses"])
+    addresses.push_back(ParseEndpoint(address.get<std::string>()));
+  return addresses;
+}
+
+HttpReply PlatformFleet::Call(const Endpoint& address,
+                              const std::string& id,
+                              const std::string& method,
+                              const std::string& path) const {
+  return CallOnce(address, {method,
+                            path,
+                            {{"Host", kHost},
+                             {"X-Request-Id", id},
+                             {"X-Request-Deadline-Ms", "2000"},
+                             {"Authorization", std::string("Token ") + kKey}},
+                            ""});
+}
+
+Json PlatformFleet::ServerCounters(int index) const {
+  const HttpReply reply = CallOnce({Host(kServerGroup, index), kServerPort},
+                                   {"GET", "/standin/counters", {}, ""});
+  return Json::parse(reply.body, nullptr, false);
+}
+
+std::map<std::string, int> PlatformFleet::Runs() const {
+  std::map<std::string, int> runs;
+  for (int i = 0; i < servers(); ++i) {
+    const Json counters = ServerCounters(i);
+    if (!counters.is_object())
+      continue;
+    for (const auto& [id, count] : counters["runs"].items())
+      runs[id] += count.get<int>();
+  }
+  return runs;
+}
+
+std::string PlatformFleet::LogOf(int index) const {
+  std::ifstream file(folder_ + "/instance-" + std::to_string(index) + ".log");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+PlatformCallers::PlatformCallers(const PlatformFleet& fleet,
+                                 int callers,
+                                 std::string method)
+    : fleet_(fleet), method_(std::move(method)) {
+  for (int i = 0; i < callers; ++i)
+    threads_.emplace_back([this, i] { Run(i); });
+}
+
+PlatformCallers::~PlatformCallers() {
+  Stop();
+}
+
+LoadCounts PlatformCallers::Stop() {
+  stop_ = true;
+  for (std::thread& thread : threads_)
+    thread.join();
+  threads_.clear();
+  return counts_;
+}
+
+void PlatformCallers::Run(int caller) {
+  constexpr std::chrono::milliseconds kThinkTime(15);
+  constexpr std::chrono::seconds kKeep(2);
+  std::vector<Endpoint> addresses;
+  std::map<Endpoint, std::unique_ptr<HttpConnection>> connections;
+  auto asked = std::chrono::steady_clock::time_point();
+  for (int number = 0; !stop_; ++number) {
+    const auto now = std::chrono::steady_clock::now();
+    if (addresses.empty() || now - asked > kKeep) {
+      for (int i = 0; i < fleet_.instances(); ++i) {
+        addresses = fleet_.Lookup((caller + i) % fleet_.instances());
+        if (!addresses.empty())
+          break;
+      }
+      asked = now;
+    }
+    if (addresses.empty())
+      continue;
+    const Endpoint address =
+        addresses[static_cast<size_t>(number) % addresses.size()];
+    auto& connection = connections[address];
+    const bool reused = connection != nullptr;
+    if (!connection)
+      connection = std::make_unique<HttpConnection>(address);
+    const std::string id =
+        "c" + std::to_string(caller) + "-" + std::to_string(number);
+    const std::string path = method_ == "GET" ? "/work/x" : "/order/x";
+    const HttpReply reply = connection->Call(
+        {method_,
+         path,
+         {{"Host", PlatformFleet::kHost},
+          {"X-Request-Id", id},
+          {"X-Request-Deadline-Ms", "2000"},
+          {"Authorization", std::string("Token ") + PlatformFleet::kKey}},
+         ""});
+    if (reply.status == 0 || reply.closes)
+      connection.reset();
+    if (reply.status == 0)
+      addresses.clear();
+    OrderedLock lock(mutex_);
+    if (reply.status == 200) {
+      ++counts_.answered;
+    } else if (reply.status == 503 || reply.status == 429) {
+      ++counts_.refused;
+    } else {
+      ++counts_.failed;
+      counts_.failures.push_back(id + " at " + ToString(address) +
+                                 (reused ? " (kept)" : " (new)") + ": " +
+                                 std::to_string(reply.status));
+    }
+    std::this_thread::sleep_for(kThinkTime);
+  }
+}
+
+}  // namespace mangodoor
--- /dev/null
+++ b/tests/platform_fleet/platform_fleet.h
@@ -0,0 +1,130 @@
+#ifndef TESTS_PLATFORM_FLEET_PLATFORM_FLEET_H_
+#define TESTS_PLATFORM_FLEET_PLATFORM_FLEET_H_
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fleet/harness/child_process.h"
+#include "fleet/harness/http_client.h"
+#include "process/ordered_mutex.h"
+
+namespace mangodoor {
+
+/** What a test wants to run on the stand-in platform. */
+struct PlatformPlan {
+  int instances = 4;
+  int zones = 2;
+  int servers_per_zone = 2;
+  int work_ms = 20;
+};
+
+/** The platform's stand-ins and real instances on loopback addresses. */
+class PlatformFleet {
+ public:
+  static constexpr const char* kKey = "key-of-the-test-tenant";
+  static constexpr const char* kHost = "shop.example";
+
+  explicit PlatformFleet(const PlatformPlan& plan);
+  ~PlatformFleet();
+
+  void StartInstance(int index);
+  /** Writes the settings of an instance again, with fields changed. */
+  void WriteSettings(int index, const nlohmann::json& changes);
+  void WriteSettingsText(int index, const std::string& text);
+  void StartServer(int index);
+  ChildProcess& instance(int index) { return *instances_.at(Index(index)); }
+  void KillInstance(int index) { instances_.at(Index(index)).reset(); }
+  ChildProcess& server(int index) { return *servers_.at(Index(index)); }
+  void KillServer(int index) { servers_.at(Index(index)).reset(); }
+  int instances() const { return plan_.instances; }
+  int servers() const { return plan_.zones * plan_.servers_per_zone; }
+  int zone_of_server(int index) const { return index % plan_.zones; }
+
+  bool IsReady(int index) const;
+  bool WaitUntilReady(std::chrono::milliseconds timeout);
+
+  /** Publishes a version of the configuration. */
+  void Publish();
+  uint64_t version = 0;
+  bool key_withdrawn = false;
+  double tenant_rate_per_s = 10000;
+  /** Another route, for tests of what is in force. */
+  std::string extra_prefix;
+
+  void Evacuate(int zone, bool out);
+  void SetStoreMode(const std::string& mode);
+  void CompactStore();
+  int store_calls() const;
+
+  /** Addresses that an instance's directory names. */
+  std::vector<Endpoint> Lookup(int index) const;
+  Endpoint caller(int index) const;
+  /** A call with the key, over a connection of its own. */
+  HttpReply Call(const Endpoint& address,
+                 const std::string& id,
+                 const std::string& method = "GET",
+                 const std::string& path = "/work/x") const;
+  nlohmann::json ServerCounters(int index) const;
+  /** All runs of requests over all servers, by request id. */
+  std::map<std::string, int> Runs() const;
+  std::string LogOf(int index) const;
+
+ private:
+  static size_t Index(int index) { return static_cast<size_t>(index); }
+  std::string Host(int group, int index) const;
+  Endpoint Address(int index, int port) const;
+  nlohmann::json Fields(int index) const;
+  std::string SettingsPath(int index) const;
+  void StoreItem(const std::string& method,
+                 const std::string& key,
+                 const std::string& value) const;
+
+  const PlatformPlan plan_;
+  std::string network_;
+  std::string folder_;
+  std::unique_ptr<ChildProcess> store_;
+  std::vector<std::unique_ptr<ChildProcess>> servers_;
+  std::vector<std::unique_ptr<ChildProcess>> instances_;
+};
+
+/** What callers saw of a load. */
+struct LoadCounts {
+  int answered = 0;
+  /** Refused with a promise that it has not run. */
+  int refused = 0;
+  /** No answer, or one that promises nothing. */
+  int failed = 0;
+  std::vector<std::string> failures;
+};
+
+/**
+ * Callers that ask the directory, keep the answer for a while, and call over
+ * kept connections until told to stop. They retry as the platform's do.
+ */
+class PlatformCallers {
+ public:
+  PlatformCallers(const PlatformFleet& fleet, int callers, std::string method);
+  ~PlatformCallers();
+
+  /** Ends the load and returns what was seen. */
+  LoadCounts Stop();
+
+ private:
+  void Run(int caller);
+
+  const PlatformFleet& fleet_;
+  const std::string method_;
+  std::atomic<bool> stop_{false};
+  OrderedMutex mutex_{LockRank::kStandin};
+  LoadCounts counts_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace mangodoor
+
+#endif  // TESTS_PLATFORM_FLEET_PLATFORM_FLEET_H_
--- /dev/null
+++ b/tests/platform_fleet/template.h
@@ -0,0 +1,18 @@
+#ifndef TESTS_PLATFORM_FLEET_TEMPLATE_H_
+#define TESTS_PLATFORM_FLEET_TEMPLATE_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace mangodoor {
+
+/**
+ * Fills in placeholders as the platform does: {{a.b}}, {{a.0}} and {{a|json}}.
+ * A name that is not there gives nothing.
+ */
+std::string RenderTemplate(const std::string& text,
+                           const nlohmann::json& fields);
+
+}  // namespace mangodoor
+
+#endif  // TESTS_PLATFORM_FLEET_TEMPLATE_H_
