Ask the socket just before a send whether the caller has left

Cause: an instance whose processor is used up reads a request long after it came, and the end of the connection behind it in a later turn of its loop.

Ruled out: the watch for a hang-up itself; it is started before the send, but its handler can only run afterwards. Change: CallerStream::HasHungUp looks at the socket; an attempt asks it with its other checks before the first byte. Test: SessionTest.RequestOfCallerThatLeftUnnoticedIsNotSent holds both workers while a caller sends and leaves. It failed first: 3 requests at the server, 2 allowed.

--- a/src/connection/io/caller_stream.cc
+++ b/src/connection/io/caller_stream.cc
@@ -1,6 +1,8 @@
 #include "connection/io/caller_stream.h"
 
+#include <sys/socket.h>
 #include <boost/asio/buffer.hpp>
+#include <cerrno>
 #include <utility>
 
 namespace mangodoor {
@@ -59,6 +61,17 @@
     StartRead();
 }
 
+// Asks the system, since on a busy processor the end of a read is noticed late.
+bool CallerStream::HasHungUp() {
+  if (read_error_)
+    return true;
+  char byte = 0;
+  const ssize_t received =
+      ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received == 0 ||
+         (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void CallerStream::StartRead() {
   reading_ = true;
   socket_.async_read_some(
--- a/src/connection/io/caller_stream.h
+++ b/src/connection/io/caller_stream.h
@@ -45,6 +45,12 @@
   void WatchForHangUp(std::function<void()> gone);
   void StopWatching() { gone_ = nullptr; }
 
+  /**
+   * True if the caller has hung up, also where the read that tells has not
+   * ended yet.
+   */
+  bool HasHungUp();
+
   /** Writes all; fails if no byte is taken for the time of `progress`. */
   boost::system::error_code Write(std::string_view data,
                                   Duration progress,
--- a/src/request/io/attempt_run.cc
+++ b/src/request/io/attempt_run.cc
@@ -100,6 +100,8 @@
   const TimePoint now = context_.clock.Now();
   if (now >= request_.deadline)
     return AttemptReport::End::kDeadline;
+  if (request_.caller_left())
+    return AttemptReport::End::kCallerGone;
   if (auto error = CheckAuthorisation()) {
     report_.error = *error;
     return AttemptReport::End::kRequestRejected;
--- a/src/request/io/outgoing_request.h
+++ b/src/request/io/outgoing_request.h
@@ -1,6 +1,7 @@
 #ifndef REQUEST_IO_OUTGOING_REQUEST_H_
 #define REQUEST_IO_OUTGOING_REQUEST_H_
 
+#include <functional>
 #include <string>
 
 #include "process/clock.h"
@@ -33,6 +34,8 @@
   /** The encoded start of the body; all of it if `body_whole`. */
   std::string body;
   bool body_whole = true;
+  /** Says whether the caller has left, asked just before a send. */
+  std::function<bool()> caller_left = [] { return false; };
 };
 
 }  // namespace mangodoor
--- a/src/request/io/request_run.cc
+++ b/src/request/io/request_run.cc
@@ -38,7 +38,9 @@
       parser_(parser),
       header_(std::move(parser.get().base())),
       upload_(context, stream, parser),
-      race_(context, stream, request_) {}
+      race_(context, stream, request_) {
+  request_.caller_left = [&stream] { return stream.HasHungUp(); };
+}
 
 RequestRun::~RequestRun() {
   stream_.StopWatching();
--- a/tests/connection/session_test.cc
+++ b/tests/connection/session_test.cc
@@ -1,3 +1,7 @@
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <future>
+
 #include "connection/data_path_fixture.h"
 
 namespace mangodoor {
@@ -111,6 +115,59 @@
   EXPECT_TRUE(Eventually([this] { return tables_.counters.cancelled == 1; }));
 }
 
+/** Keeps both worker threads busy until it is released. */
+class BusyWorkers {
+ public:
+  explicit BusyWorkers(WorkerPool& pool) {
+    for (int i = 0; i < kThreads; ++i) {
+      boost::asio::post(pool.context(), [this] {
+        ++running_;
+        released_.wait();
+        --running_;
+      });
+    }
+    Eventually([this] { return running_ == kThreads; });
+  }
+  ~BusyWorkers() {
+    release_.set_value();
+    Eventually([this] { return running_ == 0; });
+  }
+
+ private:
+  static constexpr int kThreads = 2;
+
+  std::promise<void> release_;
+  std::shared_future<void> released_ = release_.get_future().share();
+  std::atomic<int> running_{0};
+};
+
+// Guards against an instance short of processor time that sends on a request
+// whose caller left before it was read.
+TEST_F(SessionTest, RequestOfCallerThatLeftUnnoticedIsNotSent) {
+  std::atomic<int> received{0};
+  StartWith([&received](TestConnection& connection) {
+    while (!connection.ReadMessage().empty()) {
+      ++received;
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  // The connection to the server is kept, so that the request below does not
+  // have to wait for one.
+  TestConnection first = Connect();
+  first.Write(kGet);
+  ASSERT_THAT(first.ReadHead(), StartsWith("HTTP/1.1 200"));
+  {
+    const BusyWorkers busy(workers_);
+    TestConnection hasty = Connect();
+    hasty.Write(kGet);
+    hasty.Close();
+  }
+  EXPECT_TRUE(Eventually([this] { return tables_.counters.cancelled == 1; }));
+  first.Write(kGet);
+  ASSERT_THAT(first.ReadHead(), StartsWith("HTTP/1.1 200"));
+  EXPECT_EQ(received, 2);
+}
+
 // Guards against a time limit that only one side keeps.
 TEST_F(SessionTest, CallersTimeLimitEndsAttempt) {
   StartWith([](TestConnection& connection) {
