Say no longer that an instance reads the store once another does

Cause: after its first read every instance kept the time of its next one, and IsReading took that for a read to come. All 4 instances of a test fleet said that they read, so peers counted on readers that were none. Test: FeedReaderTest.ReaderThatIsNotWantedNoLongerSaysItReads failed first. The pause between reads and the wait after a failure are tested to stay.

--- a/src/process/registry/feed_reader.cc
+++ b/src/process/registry/feed_reader.cc
@@ -76,6 +76,9 @@
   if (reader.phase != FeedReader::Phase::kIdle)
     return {};
   const bool wanted = ShouldRead(reader, inputs);
+  // Peers must not count on a reader that has stopped.
+  if (!wanted && reader.failures == 0)
+    reader.not_before.reset();
   if (!wanted || (reader.not_before && inputs.now < *reader.not_before))
     return {};
   reader.started = inputs.now;
--- /dev/null
+++ b/tests/registry/feed_reader_test.cc
@@ -0,0 +1,65 @@
+#include "process/registry/feed_reader.h"
+
+#include <gtest/gtest.h>
+
+namespace mangodoor {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int ms) {
+  return TimePoint(milliseconds(1000 + ms));
+}
+
+ReaderInputs InputsAt(int ms, bool lower_rank_reads) {
+  ReaderInputs inputs;
+  inputs.now = At(ms);
+  inputs.rank = 1;
+  inputs.lower_rank_reads = lower_rank_reads;
+  inputs.revision = 7;
+  return inputs;
+}
+
+/** A reader that has just finished a watch without news. */
+FeedReader ReaderAfterWatch() {
+  FeedReader reader;
+  PlanRead(reader, InputsAt(0, false));
+  PlanRead(reader, InputsAt(400, false));
+  FinishRead(reader, StoreAnswer::Kind::kItems, false, At(500));
+  return reader;
+}
+
+// Guards against an instance that goes on telling its peers that it reads the
+// store, although another one has taken over and it does not.
+TEST(FeedReaderTest, ReaderThatIsNotWantedNoLongerSaysItReads) {
+  FeedReader reader = ReaderAfterWatch();
+  EXPECT_EQ(PlanRead(reader, InputsAt(600, true)).kind, ReadStart::Kind::kNone);
+  EXPECT_FALSE(IsReading(reader));
+}
+
+// Guards against a reader that says it stopped in the pause between two reads.
+TEST(FeedReaderTest, PauseBetweenReadsCountsAsReading) {
+  FeedReader reader = ReaderAfterWatch();
+  EXPECT_TRUE(IsReading(reader));
+  EXPECT_EQ(PlanRead(reader, InputsAt(600, false)).kind,
+            ReadStart::Kind::kWatch);
+  FinishRead(reader, StoreAnswer::Kind::kItems, true, At(700));
+  EXPECT_EQ(PlanRead(reader, InputsAt(800, false)).kind,
+            ReadStart::Kind::kNone);
+  EXPECT_TRUE(IsReading(reader));
+}
+
+// Guards against a wait after a failed read that is forgotten while another
+// instance reads.
+TEST(FeedReaderTest, WaitAfterFailureOutlastsOthersReading) {
+  FeedReader reader = ReaderAfterWatch();
+  PlanRead(reader, InputsAt(600, false));
+  FinishRead(reader, StoreAnswer::Kind::kUnavailable, false, At(700));
+  const auto wait = reader.not_before;
+  ASSERT_TRUE(wait);
+  PlanRead(reader, InputsAt(750, true));
+  EXPECT_EQ(reader.not_before, wait);
+}
+
+}  // namespace
+}  // namespace mangodoor
