Show members, readers and the store's age of a platform instance

mangodoor-status, /status and the metrics showed neither who is in the fleet nor who reads the store, and called a serving platform instance not ready, because it uses no share by entry addresses. Client accounts now come from the shared usage where the document chooses that policy. Tests: round trip and table of the fleet, and PlatformFleetTest.StatusShowsMembersReadersAndAccounts on real processes.

Clean-up: Seconds(Duration) stood three times; it is beside Duration now.

--- a/src/process/accounts/demand.cc
+++ b/src/process/accounts/demand.cc
@@ -9,10 +9,6 @@
 // Even a peer that had nothing to lend is asked again after some time.
 constexpr double kLeastUnused = 0.05;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 void Average(double& average, double sample, Duration interval, Duration over) {
   const double weight = 1 - std::exp(-Seconds(interval) / Seconds(over));
   average += (sample - average) * weight;
--- a/src/process/accounts/usage_book.cc
+++ b/src/process/accounts/usage_book.cc
@@ -50,10 +50,6 @@
 // Less than one request in ten seconds is not worth a report.
 constexpr double kLeastReported = 0.1;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 double DemandAt(const UsageState& state, TimePoint now) {
   return state.demand_per_s *
          std::exp(-Seconds(now - state.demand_at) / Seconds(kDemandTime));
--- a/src/process/accounts/usage_table.h
+++ b/src/process/accounts/usage_table.h
@@ -3,6 +3,7 @@
 
 #include "process/accounts/usage_book.h"
 #include "process/ordered_mutex.h"
+#include "process/status/status.h"
 
 namespace mangodoor {
 
@@ -12,6 +13,10 @@
   UsageBook book;
 };
 
+/** What this instance believes of each client account, by id. */
+std::vector<AccountStatus> AccountStatuses(const UsageTable& table,
+                                           TimePoint now);
+
 }  // namespace mangodoor
 
 #endif  // PROCESS_ACCOUNTS_USAGE_TABLE_H_
--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -13,6 +13,11 @@
 
 using Duration = std::chrono::nanoseconds;
 
+/** The duration in seconds, for rates. */
+inline double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 /** Source of time, passed in wherever time is read. */
 class Clock {
  public:
--- a/src/process/fleet/call_rates.cc
+++ b/src/process/fleet/call_rates.cc
@@ -13,10 +13,6 @@
 // A data centre that cannot be heard still has its callers.
 constexpr Duration kFarValid = std::chrono::seconds(10);
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 template <typename Reports>
 double SumOf(const Reports& reports, Duration valid, TimePoint now) {
   double sum = 0;
--- a/src/process/servers/cold_start.cc
+++ b/src/process/servers/cold_start.cc
@@ -70,8 +70,7 @@
     return full;
   const Duration elapsed =
       std::max(Duration::zero(), Duration(now - state.warm_since));
-  const double done = std::chrono::duration<double>(elapsed).count() /
-                      std::chrono::duration<double>(limits.ramp).count();
+  const double done = Seconds(elapsed) / Seconds(limits.ramp);
   return limits.cold_concurrency +
          static_cast<int>(done * (full - limits.cold_concurrency));
 }
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -277,8 +277,7 @@
                   TimePoint now) {
   constexpr double kMostSaved = 20;
   for (ServerEntry* server : service.servers) {
-    const double elapsed =
-        std::chrono::duration<double>(now - server->probes_refilled).count();
+    const double elapsed = Seconds(now - server->probes_refilled);
     server->probes_refilled = now;
     server->probe_tokens =
         std::min(kMostSaved, server->probe_tokens +
--- a/src/process/servers/server_score.cc
+++ b/src/process/servers/server_score.cc
@@ -33,7 +33,7 @@
 
 double Score(int outstanding, double others, int slots, Duration latency) {
   const double load = (1 + outstanding + others) / std::max(1, slots);
-  return std::chrono::duration<double>(latency).count() * load;
+  return Seconds(latency) * load;
 }
 
 bool IsTie(double a, double b) {
--- /dev/null
+++ b/src/process/status/fleet_status.cc
@@ -0,0 +1,51 @@
+#include "process/status/fleet_status.h"
+
+#include "process/fleet/fleet_table.h"
+#include "process/registry/feed.h"
+
+namespace mangodoor {
+namespace {
+
+void DescribeMembers(const FleetTable& table,
+                     TimePoint now,
+                     FleetStatus& status) {
+  OrderedLock lock(table.mutex);
+  status.rank = OwnRank(table.book);
+  status.calls_per_s = FleetCallsPerS(table.calls, now);
+  for (const auto& [id, entry] : table.book.members) {
+    if (id == table.book.self.id)
+      continue;
+    MemberStatus member;
+    member.member = entry.member;
+    member.linked = table.links.count(id) > 0;
+    if (entry.heard_at)
+      member.last_heard = now - *entry.heard_at;
+    status.members.push_back(std::move(member));
+  }
+}
+
+void DescribeCopies(const Feed& feed, TimePoint now, FleetStatus& status) {
+  OrderedLock lock(feed.mutex);
+  status.store_revision = feed.replica.revision;
+  status.reads_store = IsReading(feed.reader);
+  if (feed.confirmed_at)
+    status.store_age = now - *feed.confirmed_at;
+  for (MemberStatus& member : status.members) {
+    const auto peer = feed.peers.find(member.member.id);
+    if (peer == feed.peers.end())
+      continue;
+    member.store_revision = peer->second.revision;
+    member.reads_store = peer->second.reading;
+  }
+}
+
+}  // namespace
+
+FleetStatus StatusOf(const FleetSource& source, TimePoint now) {
+  FleetStatus status;
+  DescribeMembers(source.fleet, now, status);
+  DescribeCopies(source.feed, now, status);
+  return status;
+}
+
+}  // namespace mangodoor
--- a/src/process/status/instance_status.cc
+++ b/src/process/status/instance_status.cc
@@ -32,13 +32,18 @@
   return {true, ""};
 }
 
-Readiness ReadinessOf(const Tables& tables, TimePoint now) {
-  return DecideReadiness(
-      VersionInForce(tables.versions) != nullptr, OwnState(tables.membership),
-      MayServeKeyed(tables.versions, now), ShareInUse(tables.accounts, now));
+Readiness ReadinessOf(const Tables& tables,
+                      const FleetSource* fleet,
+                      TimePoint now) {
+  return DecideReadiness(VersionInForce(tables.versions) != nullptr,
+                         OwnState(tables.membership),
+                         MayServeKeyed(tables.versions, now),
+                         fleet != nullptr || ShareInUse(tables.accounts, now));
 }
 
-InstanceStatus CollectStatus(const Tables& tables, TimePoint now) {
+InstanceStatus CollectStatus(const Tables& tables,
+                             const FleetSource* fleet,
+                             TimePoint now) {
   InstanceStatus status;
   {
     OrderedLock lock(tables.membership.mutex);
@@ -46,15 +51,21 @@
     status.list_revision = tables.membership.list.revision;
   }
   status.state = OwnState(tables.membership);
-  status.readiness = ReadinessOf(tables, now);
+  status.readiness = ReadinessOf(tables, fleet, now);
+  LimitPolicy policy = LimitPolicy::kEntryAddresses;
   if (const VersionPtr version = VersionInForce(tables.versions)) {
     status.version = version->document.version;
     status.digest = version->digest;
+    policy = version->document.limit_policy;
   }
   status.configuration_fresh = MayServeKeyed(tables.versions, now);
   status.peers = PeerStatuses(tables.membership, now);
   status.servers = ServerStatuses(tables.servers, now);
-  status.accounts = AccountStatuses(tables.accounts, now);
+  status.accounts = policy == LimitPolicy::kSharedUsage
+                        ? AccountStatuses(tables.usage, now)
+                        : AccountStatuses(tables.accounts, now);
+  if (fleet)
+    status.fleet = StatusOf(*fleet, now);
   return status;
 }
 
--- a/src/process/status/instance_status.h
+++ b/src/process/status/instance_status.h
@@ -1,11 +1,13 @@
 #ifndef PROCESS_STATUS_INSTANCE_STATUS_H_
 #define PROCESS_STATUS_INSTANCE_STATUS_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "process/clock.h"
 #include "process/membership/membership.h"
+#include "process/status/fleet_status.h"
 #include "process/status/status.h"
 
 namespace mangodoor {
@@ -33,6 +35,8 @@
   std::vector<PeerStatus> peers;
   std::vector<ServerStatus> servers;
   std::vector<AccountStatus> accounts;
+  /** Set in a fleet without an instance list. */
+  std::optional<FleetStatus> fleet;
 };
 
 /** `is_fresh` is false while the configuration may be out of date. */
@@ -41,14 +45,21 @@
                           bool is_fresh,
                           bool uses_share);
 
-/** The decision above for the tables as they are. */
-Readiness ReadinessOf(const Tables& tables, TimePoint now);
+/**
+ * The decision above for the tables as they are. `fleet` is null where the
+ * instances are on a list and share rates by entry addresses.
+ */
+Readiness ReadinessOf(const Tables& tables,
+                      const FleetSource* fleet,
+                      TimePoint now);
 
 /**
  * Reads each table in turn; the parts may be a few microseconds apart, since
  * no lock is held from one table to the next.
  */
-InstanceStatus CollectStatus(const Tables& tables, TimePoint now);
+InstanceStatus CollectStatus(const Tables& tables,
+                             const FleetSource* fleet,
+                             TimePoint now);
 
 const char* Name(InstanceState state);
 const char* Name(ServerState state);
--- a/src/process/status/io/admin_pages.cc
+++ b/src/process/status/io/admin_pages.cc
@@ -22,18 +22,19 @@
 
 Page RenderAdminPage(std::string_view target,
                      const Tables& tables,
+                     const FleetSource* fleet,
                      const Clock& clock) {
   const std::string_view path = target.substr(0, target.find('?'));
   const TimePoint now = clock.Now();
   if (path == "/healthz")
     return {200, kText, "alive\n"};
   if (path == "/readyz")
-    return ReadinessPage(ReadinessOf(tables, now));
+    return ReadinessPage(ReadinessOf(tables, fleet, now));
   if (path == "/metrics")
     return {200, kMetrics,
-            MetricsText(tables.counters, CollectStatus(tables, now))};
+            MetricsText(tables.counters, CollectStatus(tables, fleet, now))};
   if (path == "/status")
-    return {200, kJson, EncodeStatus(CollectStatus(tables, now))};
+    return {200, kJson, EncodeStatus(CollectStatus(tables, fleet, now))};
   if (path == "/audit")
     return {200, kJson, EncodeAudit(Records(tables.audit))};
   return {404, kText,
--- a/src/process/status/io/admin_pages.h
+++ b/src/process/status/io/admin_pages.h
@@ -9,15 +9,20 @@
 namespace mangodoor {
 
 class Clock;
+struct FleetSource;
 struct Readiness;
 struct Tables;
 
 /** 200 if ready, otherwise 503 with the reason. */
 Page ReadinessPage(const Readiness& readiness);
 
-/** `target` is a path; what follows a '?' is ignored. */
+/**
+ * `target` is a path; what follows a '?' is ignored. `fleet` is null where the
+ * instances are on a list.
+ */
 Page RenderAdminPage(std::string_view target,
                      const Tables& tables,
+                     const FleetSource* fleet,
                      const Clock& clock);
 
 }  // namespace mangodoor
--- a/src/process/status/io/admin_server.cc
+++ b/src/process/status/io/admin_server.cc
@@ -7,9 +7,13 @@
 AdminServer::AdminServer(const Tables& tables,
                          const Clock& clock,
                          boost::asio::io_context& context,
-                         const Endpoint& endpoint)
-    : server_(context, endpoint, [&tables, &clock](const PageRequest& request) {
-        return RenderAdminPage(request.target, tables, clock);
-      }) {}
+                         const Endpoint& endpoint,
+                         std::optional<FleetSource> fleet)
+    : server_(context,
+              endpoint,
+              [&tables, &clock, fleet](const PageRequest& request) {
+                return RenderAdminPage(request.target, tables,
+                                       fleet ? &*fleet : nullptr, clock);
+              }) {}
 
 }  // namespace mangodoor
--- a/src/process/status/io/admin_server.h
+++ b/src/process/status/io/admin_server.h
@@ -1,7 +1,10 @@
 #ifndef PROCESS_STATUS_IO_ADMIN_SERVER_H_
 #define PROCESS_STATUS_IO_ADMIN_SERVER_H_
 
+#include <optional>
+
 #include "process/io/page_server.h"
+#include "process/status/fleet_status.h"
 
 namespace mangodoor {
 
@@ -11,8 +14,8 @@
 /**
  * Answers operators over HTTP/1.1: /metrics, /healthz, /readyz, /status and
  * /audit. Runs on the threads of `context`; the number of connections, the
- * size of a request and the time for it are bounded. `tables`, `clock` and
- * `context` outlive the threads of `context`.
+ * size of a request and the time for it are bounded. `tables`, `fleet`,
+ * `clock` and `context` outlive the threads of `context`.
  */
 class AdminServer {
  public:
@@ -20,7 +23,8 @@
   AdminServer(const Tables& tables,
               const Clock& clock,
               boost::asio::io_context& context,
-              const Endpoint& endpoint);
+              const Endpoint& endpoint,
+              std::optional<FleetSource> fleet = std::nullopt);
 
   /**
    * Stops listening and closes the connections, so that the threads of the
--- a/src/process/status/io/metrics.cc
+++ b/src/process/status/io/metrics.cc
@@ -89,7 +89,7 @@
                   const TimeCounts& times) {
   prometheus::Histogram::BucketBoundaries bounds;
   for (const std::chrono::milliseconds bound : kTimeBounds)
-    bounds.push_back(std::chrono::duration<double>(bound).count());
+    bounds.push_back(Seconds(bound));
   std::vector<double> counts;
   for (const auto& count : times.counts)
     counts.push_back(static_cast<double>(count.load()));
@@ -99,7 +99,7 @@
       .Help(help)
       .Register(registry)
       .Add({}, bounds)
-      .ObserveMultiple(counts, std::chrono::duration<double>(sum).count());
+      .ObserveMultiple(counts, Seconds(sum));
 }
 
 void AddTimes(Registry& registry, const Counters& counters) {
@@ -153,6 +153,33 @@
       .Set(reachable);
 }
 
+void AddFleet(Registry& registry, const FleetStatus& fleet) {
+  std::map<std::pair<std::string, std::string>, int> count;
+  for (const MemberStatus& status : fleet.members) {
+    ++count[{status.member.data_centre.value(), Name(status.member.state)}];
+  }
+  auto& members =
+      AddGauges(registry, "mangodoor_members",
+                "Other instances of a data centre in a state, as seen here.");
+  for (const auto& [labels, number] : count)
+    members.Add({{"data_centre", labels.first}, {"state", labels.second}})
+        .Set(number);
+  AddGauges(registry, "mangodoor_store_revision",
+            "Revision of the platform's store that this instance works with.")
+      .Add({})
+      .Set(static_cast<double>(fleet.store_revision));
+  if (fleet.store_age) {
+    AddGauges(registry, "mangodoor_store_age_seconds",
+              "Time since the copy of the store was known to be current.")
+        .Add({})
+        .Set(Seconds(*fleet.store_age));
+  }
+  AddGauges(registry, "mangodoor_reads_store",
+            "1 while this instance reads the store for its data centre.")
+      .Add({})
+      .Set(fleet.reads_store ? 1 : 0);
+}
+
 void AddServers(Registry& registry, const std::vector<ServerStatus>& servers) {
   std::map<std::pair<std::string, std::string>, int> count;
   std::map<std::string, int> outstanding;
@@ -209,6 +236,8 @@
   AddErrors(registry, counters);
   AddTimes(registry, counters);
   AddInstance(registry, status);
+  if (status.fleet)
+    AddFleet(registry, *status.fleet);
   AddServers(registry, status.servers);
   AddAccounts(registry, status.accounts);
   return prometheus::TextSerializer().Serialize(registry.Collect());
--- a/src/process/status/io/status_codec.cc
+++ b/src/process/status/io/status_codec.cc
@@ -151,6 +151,69 @@
   return account;
 }
 
+Json EncodeMember(const MemberStatus& status) {
+  const Member& member = status.member;
+  Json json = {{"id", member.id.value()},
+               {"data_centre", member.data_centre.value()},
+               {"caller", EndpointText(member.caller_endpoint)},
+               {"peer", EndpointText(member.peer_endpoint)},
+               {"state", Name(member.state)},
+               {"millicores", member.millicores},
+               {"incarnation", member.incarnation},
+               {"linked", status.linked},
+               {"last_heard_ms", nullptr},
+               {"store_revision", status.store_revision},
+               {"reads_store", status.reads_store}};
+  if (status.last_heard != Duration::max())
+    json["last_heard_ms"] = Milliseconds(status.last_heard);
+  return json;
+}
+
+MemberStatus DecodeMember(const Json& json) {
+  MemberStatus status;
+  Member& member = status.member;
+  member.id = InstanceId(json.at("id").get<std::string>());
+  member.data_centre = DataCentreId(json.at("data_centre").get<std::string>());
+  member.caller_endpoint = EndpointAt(json, "caller");
+  member.peer_endpoint = EndpointAt(json, "peer");
+  member.state = StateAt(json, MemberState::kGone);
+  member.millicores = json.at("millicores");
+  member.incarnation = json.at("incarnation");
+  status.linked = json.at("linked");
+  if (!json.at("last_heard_ms").is_null())
+    status.last_heard = MillisecondsAt(json, "last_heard_ms");
+  status.store_revision = json.at("store_revision");
+  status.reads_store = json.at("reads_store");
+  return status;
+}
+
+Json EncodeFleet(const FleetStatus& fleet) {
+  Json json = {{"rank", fleet.rank},
+               {"store_revision", fleet.store_revision},
+               {"store_age_ms", nullptr},
+               {"reads_store", fleet.reads_store},
+               {"calls_per_s", fleet.calls_per_s},
+               {"members", Json::array()}};
+  if (fleet.store_age)
+    json["store_age_ms"] = Milliseconds(*fleet.store_age);
+  for (const MemberStatus& member : fleet.members)
+    json["members"].push_back(EncodeMember(member));
+  return json;
+}
+
+FleetStatus DecodeFleet(const Json& json) {
+  FleetStatus fleet;
+  fleet.rank = json.at("rank");
+  fleet.store_revision = json.at("store_revision");
+  if (!json.at("store_age_ms").is_null())
+    fleet.store_age = MillisecondsAt(json, "store_age_ms");
+  fleet.reads_store = json.at("reads_store");
+  fleet.calls_per_s = json.at("calls_per_s");
+  for (const Json& member : json.at("members"))
+    fleet.members.push_back(DecodeMember(member));
+  return fleet;
+}
+
 AuditRecord DecodeRecord(const Json& json) {
   AuditRecord record;
   const std::string at = json.at("at");
@@ -189,6 +252,8 @@
   json["client_accounts"] = Json::array();
   for (const AccountStatus& account : status.accounts)
     json["client_accounts"].push_back(EncodeAccount(account));
+  if (status.fleet)
+    json["fleet"] = EncodeFleet(*status.fleet);
   return Dump(json);
 }
 
@@ -209,6 +274,8 @@
       status.servers.push_back(DecodeServer(server));
     for (const Json& account : json.at("client_accounts"))
       status.accounts.push_back(DecodeAccount(account));
+    if (json.contains("fleet"))
+      status.fleet = DecodeFleet(json.at("fleet"));
     return status;
   } catch (const std::exception& error) {
     throw std::runtime_error(std::string("not a status: ") + error.what());
--- a/src/process/status/io/status_text.cc
+++ b/src/process/status/io/status_text.cc
@@ -53,6 +53,17 @@
   return Number(FloatMilliseconds(duration).count()) + " ms";
 }
 
+std::string FormatStore(const FleetStatus& fleet) {
+  return "\nstore: revision " + std::to_string(fleet.store_revision) +
+         (fleet.store_age ? ", known to be current " +
+                                Milliseconds(*fleet.store_age) + " ago"
+                          : ", never known to be current") +
+         (fleet.reads_store ? ", read by this instance" : "") +
+         "\nfleet: rank " + std::to_string(fleet.rank) +
+         " in the data centre, " + Number(fleet.calls_per_s) +
+         " requests a second";
+}
+
 std::string FormatHead(const InstanceStatus& status) {
   const std::string readiness =
       status.readiness.ready ? "ready"
@@ -65,7 +76,9 @@
          status.self.data_centre.value() + ": " + Name(status.state) + ", " +
          readiness + "\nversion: " + version + "\nconfiguration: " +
          (status.configuration_fresh ? "fresh" : "stale") +
-         "\ninstance list: revision " + std::to_string(status.list_revision) +
+         (status.fleet ? FormatStore(*status.fleet)
+                       : "\ninstance list: revision " +
+                             std::to_string(status.list_revision)) +
          "\n";
 }
 
@@ -81,6 +94,22 @@
   return Section("peers", rows);
 }
 
+std::string FormatMembers(const std::vector<MemberStatus>& members) {
+  std::vector<Row> rows = {{"MEMBER", "DATA CENTRE", "STATE", "LINKED",
+                            "LAST HEARD", "MILLICORES", "STORE REVISION",
+                            "READS"}};
+  for (const MemberStatus& status : members) {
+    const Member& member = status.member;
+    rows.push_back({member.id.value(), member.data_centre.value(),
+                    Name(member.state), status.linked ? "yes" : "no",
+                    Milliseconds(status.last_heard),
+                    std::to_string(member.millicores),
+                    std::to_string(status.store_revision),
+                    status.reads_store ? "yes" : "no"});
+  }
+  return Section("members", rows);
+}
+
 std::string FormatServers(const std::vector<ServerStatus>& servers) {
   std::vector<Row> rows = {{"SERVICE", "SERVER", "DATA CENTRE", "STATE",
                             "OUTSTANDING", "ALLOWED", "LATENCY", "WAITING",
@@ -116,7 +145,9 @@
 }  // namespace
 
 std::string FormatStatus(const InstanceStatus& status) {
-  return FormatHead(status) + FormatPeers(status.peers) +
+  return FormatHead(status) +
+         (status.fleet ? FormatMembers(status.fleet->members)
+                       : FormatPeers(status.peers)) +
          FormatServers(status.servers) + FormatAccounts(status.accounts);
 }
 
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -136,9 +136,8 @@
 std::string RetryAfterField(const std::optional<Duration>& retry_after) {
   const Duration wait = retry_after.value_or(std::chrono::seconds(1));
   std::array<char, 48> field{};
-  const int size =
-      std::snprintf(field.data(), field.size(), "Retry-After: %.6g\r\n",
-                    std::chrono::duration<double>(wait).count());
+  const int size = std::snprintf(field.data(), field.size(),
+                                 "Retry-After: %.6g\r\n", Seconds(wait));
   return {field.data(), static_cast<size_t>(size)};
 }
 
--- a/tests/operators/documentation_test.cc
+++ b/tests/operators/documentation_test.cc
@@ -83,6 +83,9 @@
   InstanceStatus status;
   status.servers.emplace_back();
   status.accounts.emplace_back();
+  status.fleet.emplace();
+  status.fleet->store_age = Duration::zero();
+  status.fleet->members.emplace_back();
   const std::string text = MetricsText(Counters(), status);
   const std::string page = RepositoryFile("docs/operators.md");
   const auto names_in = [](const std::string& source, const char* pattern) {
--- a/tests/operators/status_test.cc
+++ b/tests/operators/status_test.cc
@@ -12,6 +12,7 @@
 
 using std::chrono::milliseconds;
 using ::testing::HasSubstr;
+using ::testing::Not;
 
 InstanceStatus SampleStatus() {
   InstanceStatus status;
@@ -45,6 +46,60 @@
   return status;
 }
 
+InstanceStatus SampleFleetStatus() {
+  InstanceStatus status = SampleStatus();
+  status.peers.clear();
+  FleetStatus& fleet = status.fleet.emplace();
+  fleet.rank = 2;
+  fleet.store_revision = 41;
+  fleet.store_age = milliseconds(120);
+  fleet.reads_store = true;
+  fleet.calls_per_s = 87.5;
+  MemberStatus member;
+  member.member = {InstanceId("10.0.0.2:7101"),
+                   DataCentreId("west"),
+                   {"10.0.0.2", 7100},
+                   {"10.0.0.2", 7101},
+                   200,
+                   9,
+                   MemberState::kLeaving};
+  member.linked = true;
+  member.last_heard = milliseconds(30);
+  member.store_revision = 40;
+  fleet.members.push_back(member);
+  member.member.id = InstanceId("10.0.0.3:7101");
+  member.member.state = MemberState::kGone;
+  member.last_heard = Duration::max();
+  fleet.members.push_back(member);
+  return status;
+}
+
+// Guards against beliefs of a fleet without a list that are lost on the way.
+TEST(StatusCodecTest, RoundTripKeepsTheFleet) {
+  const std::string text = EncodeStatus(SampleFleetStatus());
+  const InstanceStatus decoded = DecodeStatus(text);
+  EXPECT_EQ(EncodeStatus(decoded), text);
+  ASSERT_TRUE(decoded.fleet);
+  EXPECT_EQ(decoded.fleet->store_age, milliseconds(120));
+  ASSERT_EQ(decoded.fleet->members.size(), 2U);
+  EXPECT_EQ(decoded.fleet->members[0].member.state, MemberState::kLeaving);
+  EXPECT_EQ(decoded.fleet->members[0].last_heard, milliseconds(30));
+  EXPECT_EQ(decoded.fleet->members[1].last_heard, Duration::max());
+}
+
+// Guards against a table that hides who reads the store and how old the copy
+// is.
+TEST(StatusTextTest, FleetShowsStoreAndMembers) {
+  const std::string text = FormatStatus(SampleFleetStatus());
+  EXPECT_THAT(text, HasSubstr("store: revision 41, known to be current "
+                              "120.0 ms ago, read by this instance\n"
+                              "fleet: rank 2 in the data centre, 87.5 "
+                              "requests a second\n"));
+  EXPECT_THAT(text, HasSubstr("10.0.0.2:7101  west         leaving  yes"));
+  EXPECT_THAT(text, HasSubstr("10.0.0.3:7101  west         gone"));
+  EXPECT_THAT(text, Not(HasSubstr("instance list")));
+}
+
 // Guards against a field of the status that is lost on the way.
 TEST(StatusCodecTest, RoundTripKeepsEveryField) {
   const std::string text = EncodeStatus(SampleStatus());
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -9,6 +9,7 @@
 #include "fleet/harness/test_fleet.h"
 #include "operators/repository.h"
 #include "platform_fleet/template.h"
+#include "process/status/io/status_codec.h"
 
 namespace mangodoor {
 namespace {
@@ -332,6 +333,11 @@
   return text.str();
 }
 
+InstanceStatus PlatformFleet::StatusOf(int index) const {
+  return DecodeStatus(
+      CallOnce(Address(index, kAdminPort), {"GET", "/status", {}, ""}).body);
+}
+
 PlatformCallers::PlatformCallers(const PlatformFleet& fleet,
                                  int callers,
                                  std::string method)
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -14,6 +14,7 @@
 #include "fleet/harness/cut_relay.h"
 #include "fleet/harness/http_client.h"
 #include "process/ordered_mutex.h"
+#include "process/status/instance_status.h"
 
 namespace mangodoor {
 
@@ -90,6 +91,8 @@
   /** All runs of requests over all servers, by request id. */
   std::map<std::string, int> Runs() const;
   std::string LogOf(int index) const;
+  /** What an instance shows to operators on its admin address. */
+  InstanceStatus StatusOf(int index) const;
 
  private:
   static size_t Index(int index) { return static_cast<size_t>(index); }
--- a/tests/platform_fleet/platform_fleet_test.cc
+++ b/tests/platform_fleet/platform_fleet_test.cc
@@ -55,6 +55,50 @@
             401);
 }
 
+// Guards against a status that hides what an instance believes of its fleet,
+// or that calls a serving instance not ready.
+TEST(PlatformFleetTest, StatusShowsMembersReadersAndAccounts) {
+  PlatformFleet fleet({});
+  ASSERT_TRUE(fleet.WaitUntilReady(kStart));
+  ASSERT_EQ(fleet.Call(fleet.caller(0), "a").status, 200);
+  ASSERT_TRUE(WaitFor(
+      [&] {
+        const InstanceStatus status = fleet.StatusOf(0);
+        return status.fleet && status.fleet->members.size() == 3 &&
+               status.fleet->store_age;
+      },
+      kStart));
+  // Each reads at its start; then one goes on in each data centre.
+  const auto readers = [&fleet] {
+    int count = 0;
+    for (int i = 0; i < fleet.instances(); ++i)
+      count += fleet.StatusOf(i).fleet->reads_store ? 1 : 0;
+    return count;
+  };
+  EXPECT_TRUE(WaitFor([&] { return readers() == 2; }, kStart)) << readers();
+  for (int i = 0; i < fleet.instances(); ++i) {
+    const InstanceStatus status = fleet.StatusOf(i);
+    EXPECT_TRUE(status.readiness.ready) << status.readiness.reason;
+    ASSERT_EQ(status.accounts.size(), 1U);
+    EXPECT_GT(status.accounts[0].rate_per_s, 0);
+    EXPECT_FALSE(status.servers.empty());
+  }
+  const uint64_t admitted = fleet.StatusOf(0).accounts[0].admitted;
+  ASSERT_EQ(fleet.Call(fleet.caller(0), "b").status, 200);
+  EXPECT_EQ(fleet.StatusOf(0).accounts[0].admitted, admitted + 1);
+  fleet.KillInstance(3);
+  EXPECT_TRUE(WaitFor(
+      [&] {
+        const std::vector<MemberStatus> members =
+            fleet.StatusOf(0).fleet->members;
+        return std::any_of(members.begin(), members.end(),
+                           [](const MemberStatus& status) {
+                             return status.member.state == MemberState::kGone;
+                           });
+      },
+      kStart));
+}
+
 // Guards against a process that a changed settings file ends, and against
 // faulty settings that replace good ones.
 TEST(PlatformFleetTest, ChangedSettingsKeepServing) {
