--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,10 @@
 MINUTES ?= 3
 soak: build
 	@$(BUILD)/mangodoor-soak --seed $(SEED) --seeds $$(( $(MINUTES) * 2 ))
+
+# A page with plots of all runs in journal/; LOG and SOAK name files with the
+# logs of a played day and the output of a soak.
+.PHONY: report
+report: build
+	@$(BUILD)/mangodoor-report --output $(BUILD)/report \
+	  $(if $(LOG),--log $(LOG)) $(if $(SOAK),--soak $(SOAK))
