Let the hubs of a large data centre share the telling

Cause: the reader of the store told every instance of its data centre by itself: 74 messages for each change in a data centre of 75. Ruled out: a deeper tree; instances are linked to the hubs only. Change: with more than eight neighbours, each hub tells the instances whose rank falls to it. Beats make up for a hub that has stopped. Tests: RegistrySimTest.HubsShareTheTelling failed first (74 updates by one instance, 27 allowed); StoppedHubsAreMadeUpFor; the random series also run at 13 instances.

--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "process/fleet/member_book.h"
+
 namespace mangodoor {
 namespace {
 
@@ -13,6 +15,10 @@
 // What a beat said of its sender counts for this long.
 constexpr Duration kBeatValid = std::chrono::milliseconds(1500);
 
+// An instance with more neighbours leaves a part of them to the other hubs.
+// Beats make up for a hub that does not tell its part.
+constexpr size_t kMostTold = 8;
+
 // Bytes between data centres are dear, so the own one comes first.
 constexpr Duration kAskFarAfter = std::chrono::milliseconds(500);
 
@@ -49,16 +55,40 @@
   return update;
 }
 
-/** Sends news to the linked instances of the own data centre. */
+bool IsHub(size_t rank) {
+  return rank < kHubsPerDataCentre;
+}
+
+/** True if each hub tells a part of the instances that are no hubs. */
+bool HubsShareTelling(const FeedPlace& place) {
+  return IsHub(place.rank) && place.neighbours.size() > kMostTold;
+}
+
+/** Whom an instance tells that has news before its neighbours. */
+bool TellsFirst(const FeedPlace& place, size_t rank) {
+  return !HubsShareTelling(place) || IsHub(rank) ||
+         rank % kHubsPerDataCentre == place.rank;
+}
+
+/** Whom an instance tells that was told by a neighbour. */
+bool TellsOn(const FeedPlace& place, size_t rank) {
+  return HubsShareTelling(place) && !IsHub(rank) &&
+         rank % kHubsPerDataCentre == place.rank;
+}
+
+/** Sends news to those linked instances of the data centre that `tells`. */
 void PushNews(const Feed& feed,
               const FeedPlace& place,
               uint64_t revision_before,
+              bool (*tells)(const FeedPlace&, size_t rank),
               FeedActions& actions) {
   if (feed.replica.revision == revision_before)
     return;
   // Most of them have the same revision, and get the same message.
   std::map<uint64_t, std::vector<InstanceId>> by_revision;
   for (const auto& [peer, rank] : place.neighbours) {
+    if (!tells(place, rank))
+      continue;
     const auto known = feed.peers.find(peer);
     const uint64_t has =
         known == feed.peers.end() ? revision_before : known->second.revision;
@@ -124,7 +154,7 @@
   }
   NoteRevisions(feed, now);
   FinishRead(feed.reader, kind, !actions.news.empty(), now);
-  PushNews(feed, place, before, actions);
+  PushNews(feed, place, before, TellsFirst, actions);
   return actions;
 }
 
@@ -193,8 +223,8 @@
     actions.news = ApplyChanges(feed.replica, changes);
     NoteRevisions(feed, now);
     // What comes from afar is news to the whole data centre.
-    if (place.neighbours.count(from) == 0)
-      PushNews(feed, place, before, actions);
+    const bool far = place.neighbours.count(from) == 0;
+    PushNews(feed, place, before, far ? TellsFirst : TellsOn, actions);
   } else if (update.up_to > feed.replica.revision) {
     feed.requested_at = now;
     actions.messages.push_back({from, FeedRequest{feed.replica.revision}});
--- a/tests/registry/registry_sim_test.cc
+++ b/tests/registry/registry_sim_test.cc
@@ -33,6 +33,44 @@
   }
 }
 
+// Guards against a reader that tells a large data centre all by itself: on a
+// narrow link the last instance would hear seconds after the first.
+TEST(RegistrySimTest, HubsShareTheTelling) {
+  constexpr int kEach = 75;
+  RegistrySim sim(2, kEach, kPage);
+  Fill(sim, 12);
+  sim.RunFor(seconds(3));
+  ASSERT_TRUE(sim.AllCurrent());
+  for (int i = 0; i < sim.size(); ++i)
+    sim.reader(i).updates = 0;
+  sim.store().Put("op/config", "v2");
+  // Sooner than the beats, so that nobody had to ask.
+  sim.RunFor(milliseconds(300));
+  EXPECT_TRUE(sim.AllCurrent());
+  for (int i = 0; i < sim.size(); ++i)
+    EXPECT_LE(sim.reader(i).updates, kEach / 3 + 2) << i;
+}
+
+// Guards against a part of a large data centre that hears nothing because the
+// hub that is to tell it has stopped, or because the reader is no hub.
+TEST(RegistrySimTest, StoppedHubsAreMadeUpFor) {
+  for (const int stopped : {1, 2, 3}) {
+    RegistrySim sim(1, 40, kPage);
+    Fill(sim, 12);
+    sim.RunFor(seconds(3));
+    for (int i = 0; i < stopped; ++i)
+      sim.Stop(i);
+    // Long enough for another instance to read, without any hub in the worst
+    // case; ranks do not change here.
+    sim.RunFor(seconds(8));
+    if (stopped == 3)
+      sim.Restart(1);
+    sim.store().Put("op/config", "v2");
+    sim.RunFor(kInForce);
+    EXPECT_TRUE(sim.AllCurrent()) << stopped;
+  }
+}
+
 // Guards against reads that cost more than what they bring: calls of a quiet
 // day must stay under 2% of its worth, which are about 330 for four data
 // centres, and must not grow with the instances.
@@ -165,7 +203,8 @@
 // changes after which an instance holds something else than the store, or has
 // gone back to an older state meanwhile.
 RC_GTEST_PROP(RegistrySimTest, CopiesAgreeAfterAnyTroubles, ()) {
-  RegistrySim sim(2, 4, kPage);
+  // In larger data centres the hubs share the telling.
+  RegistrySim sim(2, *rc::gen::element(4, 13), kPage);
   Fill(sim, 8);
   sim.RunFor(seconds(1));
   const int troubles = *rc::gen::inRange(1, 30);
--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -122,9 +122,13 @@
 }
 
 void RegistrySim::Carry(SimReader& reader, FeedActions actions) {
-  for (OutgoingMessage& outgoing : actions.messages)
+  for (OutgoingMessage& outgoing : actions.messages) {
+    reader.updates +=
+        std::holds_alternative<FeedUpdate>(outgoing.message) ? 1 : 0;
     messages_.push_back({reader.id, std::move(outgoing)});
+  }
   for (const FeedPush& push : actions.pushes) {
+    reader.updates += static_cast<int>(push.to.size());
     for (const InstanceId& to : push.to)
       messages_.push_back({reader.id, {to, push.update}});
   }
--- a/tests/registry/store_sim.h
+++ b/tests/registry/store_sim.h
@@ -59,6 +59,8 @@
   /** What the changes that came into force add up to. */
   std::map<std::string, std::string> applied;
   int calls = 0;
+  /** Updates sent to other instances. */
+  int updates = 0;
   bool runs = true;
 };
 
