Tell other data centres of hubs only, and copy the fleet once for each change

Each fresh instance linked to all seeds and was told the whole fleet by each: in FleetSim a start of 4 x 75 sends 325,152 states of members between data centres, and a hub repeats 89,700. Besides, every beat and every question of a caller copied all members twice. Change: news_scope says how much a peer is told: everything within a data centre, the own one and the hubs of others between leads, the hubs of its own one to anyone else. Nothing goes back over the link that it came by, unless that was opened later: a restarted peer has forgotten it (found by TablesAgreeAfterAnyTroubles). One FleetView is kept until a member or link changes. Tests: StartOfALargeFleetTellsEachMemberAFewTimes failed first (bounds 9,600 and 45,000); FleetViewTest; TablesAgreeAfterAnyTroubles also with 7 instances a data centre and one seed, 1,800 series by hand.

--- a/src/process/accounts/io/token_exchange.cc
+++ b/src/process/accounts/io/token_exchange.cc
@@ -16,11 +16,11 @@
 
 void TokenExchange::Ask(const ClientAccountId& account,
                         std::function<void(bool)> done) {
-  const FleetView view = ViewFleet(fleet_, clock_.Now());
+  const FleetViewPtr view = ViewFleet(fleet_);
   const auto lead =
-      std::find_if(view.neighbours.begin(), view.neighbours.end(),
+      std::find_if(view->neighbours.begin(), view->neighbours.end(),
                    [](const auto& neighbour) { return neighbour.second == 0; });
-  if (lead == view.neighbours.end())
+  if (lead == view->neighbours.end())
     return done(false);
   const uint64_t id = AddAsk(
       asks_, [done = std::move(done)](int tokens) { done(tokens > 0); },
@@ -30,8 +30,8 @@
 
 void TokenExchange::Answer(const InstanceId& from, const TokenRequest& ask) {
   const TimePoint now = clock_.Now();
-  const FleetView view = ViewFleet(fleet_, now);
-  const bool near = view.neighbours.count(from) > 0;
+  const FleetViewPtr view = ViewFleet(fleet_);
+  const bool near = view->neighbours.count(from) > 0;
   int granted = 0;
   {
     OrderedLock lock(usage_.mutex);
@@ -41,7 +41,7 @@
   }
   peers_.Send(from, TokenReply{ask.id, granted});
   if (near)
-    FillUpPool(ask.client_account, view);
+    FillUpPool(ask.client_account, *view);
 }
 
 void TokenExchange::TakeReply(const TokenReply& reply) {
--- a/src/process/fleet/fleet_table.cc
+++ b/src/process/fleet/fleet_table.cc
@@ -1,5 +1,6 @@
 #include "process/fleet/fleet_table.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "process/fleet/link_plan.h"
@@ -16,11 +17,25 @@
 // The functions below are called with the table locked.
 
 void SendNews(FleetTable& table, FleetActions& actions) {
+  const MemberBook& book = table.book;
+  const bool none_due = std::all_of(
+      table.links.begin(), table.links.end(), [&book](const auto& link) {
+        return link.second.sent_change >= book.last_change;
+      });
+  if (none_due)
+    return;
+  const HubRanks hubs = RankHubs(book);
   for (auto& [peer, link] : table.links) {
-    if (link.sent_change >= table.book.last_change)
+    const NewsScope scope = ScopeFor(book, hubs, peer);
+    // What was left out in a narrower scope is due now.
+    if (scope > link.scope)
+      link.sent_change = 0;
+    link.scope = scope;
+    if (link.sent_change >= book.last_change)
       continue;
-    MemberNews news{ChangesSince(table.book, link.sent_change)};
-    link.sent_change = table.book.last_change;
+    MemberNews news{NewsFor(
+        book, hubs, {peer, scope, link.sent_change, link.opened_at_change})};
+    link.sent_change = book.last_change;
     if (!news.members.empty())
       actions.messages.push_back({peer, std::move(news)});
   }
@@ -37,6 +52,25 @@
   }
 }
 
+FleetView MakeView(const FleetTable& table) {
+  FleetView view;
+  view.self = table.book.self;
+  for (const Member* member : LiveMembers(table.book))
+    view.live.push_back(*member);
+  const auto ranked = RankedMembers(table.book, table.book.self.data_centre);
+  for (size_t i = 0; i < ranked.size(); ++i) {
+    if (ranked[i]->id == table.book.self.id)
+      view.rank = i;
+    else if (table.links.count(ranked[i]->id) > 0)
+      view.neighbours[ranked[i]->id] = i;
+  }
+  for (const auto& [peer, link] : table.links) {
+    if (view.neighbours.count(peer) == 0)
+      view.far.push_back(peer);
+  }
+  return view;
+}
+
 }  // namespace
 
 FleetActions TickFleet(FleetTable& table, TimePoint now) {
@@ -55,13 +89,17 @@
 
 void OpenLink(FleetTable& table, const InstanceId& peer, TimePoint now) {
   OrderedLock lock(table.mutex);
-  table.links[peer] = FleetLink();
+  FleetLink link;
+  link.opened_at_change = table.book.last_change;
+  table.links[peer] = link;
+  ++table.link_changes;
   Hear(table.book, peer, now);
 }
 
 void CloseLink(FleetTable& table, const InstanceId& peer) {
   OrderedLock lock(table.mutex);
   table.links.erase(peer);
+  ++table.link_changes;
 }
 
 void HearFrom(FleetTable& table, const InstanceId& from, TimePoint now) {
@@ -76,7 +114,7 @@
   OrderedLock lock(table.mutex);
   std::vector<Member> changed;
   for (const Member& member : news.members) {
-    if (Learn(table.book, member, now) && member.id != table.book.self.id)
+    if (Learn(table.book, from, member, now) && member.id != table.book.self.id)
       changed.push_back(member);
   }
   Hear(table.book, from, now);
@@ -112,25 +150,19 @@
   Leave(table.book, now);
 }
 
-FleetView ViewFleet(const FleetTable& table, TimePoint now) {
+FleetViewPtr ViewFleet(const FleetTable& table) {
   OrderedLock lock(table.mutex);
-  FleetView view;
-  view.self = table.book.self;
-  view.calls_per_s = FleetCallsPerS(table.calls, now);
-  for (const Member* member : LiveMembers(table.book))
-    view.live.push_back(*member);
-  const auto ranked = RankedMembers(table.book, table.book.self.data_centre);
-  for (size_t i = 0; i < ranked.size(); ++i) {
-    if (ranked[i]->id == table.book.self.id)
-      view.rank = i;
-    else if (table.links.count(ranked[i]->id) > 0)
-      view.neighbours[ranked[i]->id] = i;
-  }
-  for (const auto& [peer, link] : table.links) {
-    if (view.neighbours.count(peer) == 0)
-      view.far.push_back(peer);
+  const std::pair changes(table.book.last_change, table.link_changes);
+  if (!table.view || table.view_made_of != changes) {
+    table.view = std::make_shared<const FleetView>(MakeView(table));
+    table.view_made_of = changes;
   }
-  return view;
+  return table.view;
+}
+
+double FleetCallsPerS(const FleetTable& table, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  return FleetCallsPerS(table.calls, now);
 }
 
 }  // namespace mangodoor
--- a/src/process/fleet/fleet_table.h
+++ b/src/process/fleet/fleet_table.h
@@ -2,11 +2,14 @@
 #define PROCESS_FLEET_FLEET_TABLE_H_
 
 #include <map>
+#include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "process/fleet/call_rates.h"
 #include "process/fleet/member_book.h"
+#include "process/fleet/news_scope.h"
 #include "process/membership/membership.h"
 #include "process/ordered_mutex.h"
 #include "process/peers/peer_message.h"
@@ -15,11 +18,28 @@
 
 /** What a link to another instance has carried. */
 struct FleetLink {
-  /** The peer has been sent every change up to this number. */
+  /** The peer has been sent what its scope holds up to this change. */
   uint64_t sent_change = 0;
+  NewsScope scope = NewsScope::kSelf;
+  /** The latest change when the link was opened. */
+  uint64_t opened_at_change = 0;
   std::optional<TimePoint> beat_at;
 };
 
+/** The members and links of a fleet at one moment. */
+struct FleetView {
+  Member self;
+  /** This instance and all others that are not gone. */
+  std::vector<Member> live;
+  /** Linked instances of the own data centre, with their ranks. */
+  std::map<InstanceId, size_t> neighbours;
+  /** Linked instances of other data centres. */
+  std::vector<InstanceId> far;
+  size_t rank = 0;
+};
+
+using FleetViewPtr = std::shared_ptr<const FleetView>;
+
 /** The fleet as this instance sees it, behind a lock. */
 struct FleetTable {
   mutable OrderedMutex mutex{LockRank::kFleet};
@@ -27,6 +47,11 @@
   std::vector<Endpoint> seeds;
   /** Links that are open. */
   std::map<InstanceId, FleetLink> links;
+  /** Counts the links that were opened and closed. */
+  uint64_t link_changes = 0;
+  /** Made from these numbers of changes of the book and of the links. */
+  mutable FleetViewPtr view;
+  mutable std::pair<uint64_t, uint64_t> view_made_of;
   CallRates calls;
   std::optional<TimePoint> last_tick;
 };
@@ -77,21 +102,14 @@
 
 void BeginLeaving(FleetTable& table, TimePoint now);
 
-/** A view of the fleet for one decision. */
-struct FleetView {
-  Member self;
-  /** This instance and all others that are not gone. */
-  std::vector<Member> live;
-  /** Linked instances of the own data centre, with their ranks. */
-  std::map<InstanceId, size_t> neighbours;
-  /** Linked instances of other data centres. */
-  std::vector<InstanceId> far;
-  size_t rank = 0;
-  /** Requests that come to the fleet. */
-  double calls_per_s = 0;
-};
+/**
+ * The fleet as it is now. The same view is returned until a member or a link
+ * changes.
+ */
+FleetViewPtr ViewFleet(const FleetTable& table);
 
-FleetView ViewFleet(const FleetTable& table, TimePoint now);
+/** Requests a second that come to the whole fleet. */
+double FleetCallsPerS(const FleetTable& table, TimePoint now);
 
 }  // namespace mangodoor
 
--- a/src/process/fleet/member_book.cc
+++ b/src/process/fleet/member_book.cc
@@ -33,6 +33,7 @@
   entry.member.state = MemberState::kGone;
   entry.change = ++book.last_change;
   entry.changed_at = now;
+  entry.told_by = InstanceId();
   gone.push_back(entry.member.id);
 }
 
@@ -110,7 +111,10 @@
   return book;
 }
 
-bool Learn(MemberBook& book, const Member& news, TimePoint now) {
+bool Learn(MemberBook& book,
+           const InstanceId& from,
+           const Member& news,
+           TimePoint now) {
   if (news.id == book.self.id)
     return LearnOfSelf(book, news);
   const auto known = book.members.find(news.id);
@@ -121,6 +125,7 @@
   entry.member = news;
   entry.change = ++book.last_change;
   entry.changed_at = now;
+  entry.told_by = from;
   if (restarted)
     entry.heard_at.reset();
   return true;
@@ -137,17 +142,6 @@
   NoteOwnChange(book);
 }
 
-std::vector<Member> ChangesSince(const MemberBook& book, uint64_t after) {
-  std::vector<Member> changes;
-  if (book.own_change > after)
-    changes.push_back(book.self);
-  for (const auto& [id, entry] : book.members) {
-    if (entry.change > after)
-      changes.push_back(entry.member);
-  }
-  return changes;
-}
-
 std::vector<const Member*> LiveMembers(const MemberBook& book) {
   std::vector<const Member*> live{&book.self};
   for (const auto& [id, entry] : book.members) {
--- a/src/process/fleet/member_book.h
+++ b/src/process/fleet/member_book.h
@@ -16,6 +16,8 @@
   /** Number of the change that brought this state. */
   uint64_t change = 0;
   TimePoint changed_at{};
+  /** Who told this state; empty if this instance found it. */
+  InstanceId told_by;
   /** The last message that came from it directly. */
   std::optional<TimePoint> heard_at;
 };
@@ -52,10 +54,13 @@
 MemberBook StartBook(Member self);
 
 /**
- * Takes over news. News that this instance is gone, while it runs, makes it
- * raise its incarnation. Returns true if anything changed.
+ * Takes over what `from` tells. News that this instance is gone, while it
+ * runs, makes it raise its incarnation. Returns true if anything changed.
  */
-bool Learn(MemberBook& book, const Member& news, TimePoint now);
+bool Learn(MemberBook& book,
+           const InstanceId& from,
+           const Member& news,
+           TimePoint now);
 
 /** Notes a message that came from an instance directly. */
 void Hear(MemberBook& book, const InstanceId& from, TimePoint now);
@@ -63,9 +68,6 @@
 /** Begins this instance's planned stop. */
 void Leave(MemberBook& book, TimePoint now);
 
-/** Everything that changed after change number `after`. */
-std::vector<Member> ChangesSince(const MemberBook& book, uint64_t after);
-
 /** All instances that are not gone, this one included, by id. */
 std::vector<const Member*> LiveMembers(const MemberBook& book);
 
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -75,6 +75,10 @@
       static_cast<int64_t>(static_cast<double>(whole.count()) * part));
 }
 
+FeedPlace PlaceIn(const FleetView& view) {
+  return {view.rank, view.neighbours};
+}
+
 /** Everything that lives as long as the process, in the order of its use. */
 class FleetProcess {
  public:
@@ -316,16 +320,17 @@
 
 void FleetProcess::HandleBeat(const InstanceId& from, const MemberBeat& beat) {
   const TimePoint now = clock_.Now();
-  const FleetView view = ViewFleet(fleet_, clock_.Now());
-  Run(HandleFeedBeat(feed_, Place(), from, beat, now));
+  const FleetViewPtr view = ViewFleet(fleet_);
+  Run(HandleFeedBeat(feed_, PlaceIn(*view), from, beat, now));
   HearCalls(fleet_, from, beat, now);
-  for (const Member& member : view.live) {
-    if (member.id != from)
-      continue;
-    OrderedLock lock(tables_.usage.mutex);
-    HearUsage(tables_.usage.book, from, member.data_centre,
-              member.data_centre == view.self.data_centre, beat, now);
-  }
+  const auto sender =
+      std::find_if(view->live.begin(), view->live.end(),
+                   [&](const Member& member) { return member.id == from; });
+  if (sender == view->live.end())
+    return;
+  OrderedLock lock(tables_.usage.mutex);
+  HearUsage(tables_.usage.book, from, sender->data_centre,
+            sender->data_centre == view->self.data_centre, beat, now);
 }
 
 void FleetProcess::HandlePeerConnected(const InstanceId& peer) {
@@ -340,8 +345,7 @@
 }
 
 FeedPlace FleetProcess::Place() const {
-  FleetView view = ViewFleet(fleet_, clock_.Now());
-  return {view.rank, std::move(view.neighbours)};
+  return PlaceIn(*ViewFleet(fleet_));
 }
 
 void FleetProcess::TickMembers() {
@@ -352,19 +356,19 @@
     Log(LogLevel::kWarning, "member_gone", {{"member", gone.value()}});
   for (const OutgoingMessage& outgoing : fleet.messages)
     hub_.Send(outgoing.to, outgoing.message);
-  const FleetView view = ViewFleet(fleet_, clock_.Now());
-  const int all = static_cast<int>(view.live.size());
+  const FleetViewPtr view = ViewFleet(fleet_);
+  const int all = static_cast<int>(view->live.size());
   {
     OrderedLock lock(tables_.usage.mutex);
     NoteInstances(tables_.usage.book, all, now);
-    NoteLead(tables_.usage.book, view.rank == 0, now);
+    NoteLead(tables_.usage.book, view->rank == 0, now);
   }
-  tokens_.FillUpPools(view);
-  NoteShares(tables_.servers, Shares(view));
+  tokens_.FillUpPools(*view);
+  NoteShares(tables_.servers, Shares(*view));
   NoteInstances(attempts_, all);
-  SendBeats(fleet.beats, view);
+  SendBeats(fleet.beats, *view);
   KeepLinks(std::move(fleet.links));
-  Run(TickFeed(feed_, {view.rank, view.neighbours}, now));
+  Run(TickFeed(feed_, PlaceIn(*view), now));
 }
 
 InstanceShares FleetProcess::Shares(const FleetView& view) const {
@@ -382,8 +386,9 @@
 }
 
 double FleetProcess::CallsPerDataCentre(const FleetView& view) const {
-  return mangodoor::CallsPerDataCentre(view.live, view.calls_per_s,
-                                       AllSlots(tables_.servers, clock_.Now()));
+  const TimePoint now = clock_.Now();
+  return mangodoor::CallsPerDataCentre(view.live, FleetCallsPerS(fleet_, now),
+                                       AllSlots(tables_.servers, now));
 }
 
 void FleetProcess::SendBeats(const std::vector<InstanceId>& due,
@@ -439,14 +444,14 @@
 // A data centre whose reader waits at a silent watch hears at once that it
 // lacks something.
 void FleetProcess::TellOtherLeads() {
-  const FleetView view = ViewFleet(fleet_, clock_.Now());
+  const FleetViewPtr view = ViewFleet(fleet_);
   const TimePoint now = clock_.Now();
-  if (view.rank > 0 || now - told_at_.load() < kTellSpacing)
+  if (view->rank > 0 || now - told_at_.load() < kTellSpacing)
     return;
   told_at_ = now;
   MemberBeat beat;
   DescribeFeed(feed_, now, beat);
-  hub_.SendAll(view.far, beat);
+  hub_.SendAll(view->far, beat);
 }
 
 void FleetProcess::StartRead(const ReadStart& read) {
@@ -473,11 +478,11 @@
 }
 
 AddressAnswer FleetProcess::Addresses(const AddressQuery& query) const {
-  const FleetView view = ViewFleet(fleet_, clock_.Now());
+  const FleetViewPtr view = ViewFleet(fleet_);
   AddressInputs inputs;
-  inputs.live = view.live;
-  inputs.own_data_centre = view.self.data_centre;
-  inputs.calls_per_s = CallsPerDataCentre(view);
+  inputs.live = view->live;
+  inputs.own_data_centre = view->self.data_centre;
+  inputs.calls_per_s = CallsPerDataCentre(*view);
   inputs.subject = query.host;
   inputs.caller = query.caller;
   if (const VersionPtr version = VersionInForce(tables_.versions)) {
--- a/tests/members/call_takers_test.cc
+++ b/tests/members/call_takers_test.cc
@@ -77,7 +77,7 @@
 TEST(MemberRankTest, StrongInstancesAreHubs) {
   MemberBook book = StartBook(MakeMember(1, 100));
   for (const Member& member : TwoStrongManyWeak())
-    Learn(book, member, TimePoint(std::chrono::hours(1)));
+    Learn(book, member.id, member, TimePoint(std::chrono::hours(1)));
   const auto ranked = RankedMembers(book, here);
   EXPECT_EQ(ranked[0]->millicores, 500);
   EXPECT_EQ(ranked[1]->millicores, 500);
--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -104,6 +104,15 @@
   }
 }
 
+void FleetSim::CountTold(SimInstance& from, const OutgoingMessage& message) {
+  const auto* news = std::get_if<MemberNews>(&message.message);
+  if (!news)
+    return;
+  from.told += news->members.size();
+  if (instances_.at(message.to).member.data_centre != from.member.data_centre)
+    told_far_ += news->members.size();
+}
+
 void FleetSim::RunFor(Duration duration) {
   const TimePoint end = now_ + duration;
   while (now_ < end) {
@@ -117,8 +126,10 @@
       instance.wanted.clear();
       for (const Instance& link : actions.links)
         instance.wanted.insert(link.id);
-      for (const OutgoingMessage& message : actions.messages)
+      for (const OutgoingMessage& message : actions.messages) {
+        CountTold(instance, message);
         messages_.push_back({id, message.to, message.message});
+      }
       for (const InstanceId& peer : actions.beats)
         messages_.push_back({id, peer, MemberBeat()});
     }
@@ -130,7 +141,7 @@
 std::set<std::string> FleetSim::LiveAt(int index) const {
   std::set<std::string> live;
   for (const Member& member :
-       ViewFleet(*instances_.at(IdOf(index)).table, now_).live)
+       ViewFleet(*instances_.at(IdOf(index)).table)->live)
     live.insert(member.id.value());
   return live;
 }
@@ -148,4 +159,8 @@
   return instances_.at(IdOf(index)).table->links.size();
 }
 
+size_t FleetSim::ToldBy(int index) const {
+  return instances_.at(IdOf(index)).told;
+}
+
 }  // namespace mangodoor
--- a/tests/members/fleet_sim.h
+++ b/tests/members/fleet_sim.h
@@ -26,6 +26,8 @@
   std::unique_ptr<FleetTable> table;
   /** Machines that it wants a link to. */
   std::set<InstanceId> wanted;
+  /** States of members that it has told others. */
+  size_t told = 0;
 };
 
 /**
@@ -54,6 +56,10 @@
   /** Links that are open at a machine. */
   size_t LinksAt(int index) const;
   TimePoint now() const { return now_; }
+  /** States of members that a machine has told others. */
+  size_t ToldBy(int index) const;
+  /** Those that went from one data centre to another, of all machines. */
+  size_t told_far() const { return told_far_; }
   /** How often an instance that could be reached was declared gone. */
   int false_ends() const { return false_ends_; }
 
@@ -61,6 +67,7 @@
   bool Reachable(const InstanceId& a, const InstanceId& b) const;
   void UpdateLinks();
   void Deliver();
+  void CountTold(SimInstance& from, const OutgoingMessage& message);
 
   std::vector<InstanceId> ids_;
   std::map<InstanceId, SimInstance> instances_;
@@ -71,6 +78,7 @@
   TimePoint now_{std::chrono::hours(1)};
   uint64_t next_incarnation_ = 1;
   int false_ends_ = 0;
+  size_t told_far_ = 0;
 };
 
 }  // namespace mangodoor
--- a/tests/members/membership_sim_test.cc
+++ b/tests/members/membership_sim_test.cc
@@ -34,6 +34,25 @@
   ExpectAllAgree(sim);
 }
 
+// Guards against news of members that grow with the square of the fleet while
+// all of it starts: instances that only look for their own data centre were
+// told all others too, over the dear way between data centres.
+TEST(MembershipSimTest, StartOfALargeFleetTellsEachMemberAFewTimes) {
+  constexpr int kDataCentres = 4;
+  constexpr int kEach = 75;
+  constexpr size_t kAll = kDataCentres * kEach;
+  FleetSim sim(kDataCentres, kEach, 3);
+  StartAll(sim);
+  sim.RunFor(seconds(3));
+  ExpectAllAgree(sim);
+  // A hub tells each instance of its data centre of all others.
+  for (int i = 0; i < sim.size(); ++i)
+    EXPECT_LE(sim.ToldBy(i), 2 * kAll * kEach) << i;
+  // Each data centre hears of the others a few times, and each instance of a
+  // few by way of the seeds.
+  EXPECT_LE(sim.told_far(), 8 * kAll * kDataCentres);
+}
+
 // Guards against a lost seed that keeps instances apart.
 TEST(MembershipSimTest, OneLivingSeedIsEnough) {
   FleetSim sim(4, 4, 3);
@@ -144,7 +163,8 @@
 // Guards against series of kills, restarts and cuts after which the tables do
 // not agree.
 RC_GTEST_PROP(MembershipSimTest, TablesAgreeAfterAnyTroubles, ()) {
-  FleetSim sim(3, 4, 3);
+  // Seeds in every data centre, or in one of them only.
+  FleetSim sim(3, *rc::gen::element(4, 7), *rc::gen::element(1, 3));
   StartAll(sim);
   sim.RunFor(seconds(2));
   const int troubles = *rc::gen::inRange(1, 25);
