Fence a platform instance by the age of its copy of the store

Change: each tick of the members notes when the copy was last known to be current; fence_after_ms says how long that lasts, 5% less to be on the safe side. Test: PlatformFleetTest.FailClosedServesWhileTheCopyIsCurrent failed first (no instance became ready). It serves for twice the limit, refuses within the limit once all stores are cut off, and serves again.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -43,6 +43,10 @@
 constexpr double kListenPart = 0.45;
 constexpr double kFinishPart = 0.95;
 
+// Keyed requests are refused before the limit, since the store's last answer
+// was on its way for a while when it counted as news.
+constexpr double kFencePart = 0.95;
+
 constexpr size_t kMaxDirectoryConnections = 1024;
 
 // Bytes between data centres are dear; a storm of changes is told in parts.
@@ -219,7 +223,6 @@
       stop_timer_(pool_.context()) {
   tables_.membership.self = settings.self;
   tables_.membership.own_state = InstanceState::kServing;
-  tables_.versions.options.fence_when_stale = settings.fleet->fenced_when_stale;
   fleet_.book = StartBook(OwnMember(settings, clock_));
   Adopt(settings);
 }
@@ -230,6 +233,12 @@
     OrderedLock lock(fleet_.mutex);
     fleet_.seeds = settings.fleet->seeds;
   }
+  {
+    OrderedLock lock(tables_.versions.mutex);
+    tables_.versions.options.fence_when_stale =
+        settings.fleet->fenced_when_stale;
+    tables_.versions.fresh_for = Part(settings.fleet->fence_after, kFencePart);
+  }
   {
     OrderedLock lock(tables_.usage.mutex);
     tables_.usage.book.tolerance = settings.fleet->tolerance;
@@ -369,6 +378,7 @@
   SendBeats(fleet.beats, *view);
   KeepLinks(std::move(fleet.links));
   Run(TickFeed(feed_, PlaceIn(*view), now));
+  NoteConfirmed(tables_.versions, ConfirmedAt(feed_), now);
 }
 
 InstanceShares FleetProcess::Shares(const FleetView& view) const {
--- a/src/process/io/settings.cc
+++ b/src/process/io/settings.cc
@@ -128,6 +128,8 @@
   ReadMilliseconds(object, "address_keep_ms", kAddressKeepRangeMs,
                    fleet->address_keep);
   ReadFlag(object, "fenced_when_stale", fleet->fenced_when_stale);
+  ReadMilliseconds(object, "fence_after_ms", kWindowRangeMs,
+                   fleet->fence_after);
   RefuseUnknownFields(object);
 }
 
--- a/src/process/io/settings.h
+++ b/src/process/io/settings.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds address_keep{5000};
   /** False: keyed requests run although the configuration may be stale. */
   bool fenced_when_stale = true;
+  /** Without a sign for this long that it is current, it may be stale. */
+  std::chrono::milliseconds fence_after{3000};
 };
 
 /** What an instance is told when it starts. */
--- a/src/process/membership/freshness.cc
+++ b/src/process/membership/freshness.cc
@@ -5,8 +5,10 @@
 namespace mangodoor {
 namespace {
 
-bool WithinFreshTime(const std::optional<TimePoint>& at, TimePoint now) {
-  return at && now - *at <= kFreshFor;
+bool IsWithin(const std::optional<TimePoint>& at,
+              Duration fresh_for,
+              TimePoint now) {
+  return at && now - *at <= fresh_for;
 }
 
 }  // namespace
@@ -37,12 +39,12 @@
   return read ? now - *read : Duration::max();
 }
 
-bool IsFresh(const Freshness& freshness, TimePoint now) {
+bool IsFresh(const Freshness& freshness, Duration fresh_for, TimePoint now) {
   // A process that has just resumed may get a request before its next tick.
   if (!freshness.last_look || now - *freshness.last_look > kPauseGap)
     return false;
-  return WithinFreshTime(ConfirmedRead(freshness), now) ||
-         WithinFreshTime(freshness.half_contact, now);
+  return IsWithin(ConfirmedRead(freshness), fresh_for, now) ||
+         IsWithin(freshness.half_contact, fresh_for, now);
 }
 
 }  // namespace mangodoor
--- a/src/process/membership/freshness.h
+++ b/src/process/membership/freshness.h
@@ -41,8 +41,11 @@
 /** Age of the latest confirmed read; Duration::max() if there is none. */
 Duration ReadAge(const Freshness& freshness, TimePoint now);
 
-/** True if the version in force may be used for keyed requests. */
-bool IsFresh(const Freshness& freshness, TimePoint now);
+/**
+ * True if the version in force may be used for keyed requests: it was confirmed
+ * at most `fresh_for` ago.
+ */
+bool IsFresh(const Freshness& freshness, Duration fresh_for, TimePoint now);
 
 }  // namespace mangodoor
 
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -245,11 +245,9 @@
     beat.feed_age = now - *feed.confirmed_at;
 }
 
-std::optional<Duration> FeedAge(const Feed& feed, TimePoint now) {
+std::optional<TimePoint> ConfirmedAt(const Feed& feed) {
   OrderedLock lock(feed.mutex);
-  if (!feed.confirmed_at)
-    return std::nullopt;
-  return now - *feed.confirmed_at;
+  return feed.confirmed_at;
 }
 
 uint64_t FeedRevision(const Feed& feed) {
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -94,8 +94,8 @@
 /** Fills in what a beat says of this instance's copy. */
 void DescribeFeed(const Feed& feed, TimePoint now, MemberBeat& beat);
 
-/** Time since the copy was known to be current; no value if it never was. */
-std::optional<Duration> FeedAge(const Feed& feed, TimePoint now);
+/** When the copy was last known to be current; no value if it never was. */
+std::optional<TimePoint> ConfirmedAt(const Feed& feed);
 
 uint64_t FeedRevision(const Feed& feed);
 
--- a/src/process/versions/version_spread.cc
+++ b/src/process/versions/version_spread.cc
@@ -104,7 +104,8 @@
   Judgement judgement;
   judgement.held = InForce(table);
   judgement.read_age = ReadAge(table.freshness, tick.now);
-  judgement.fenced = !table.in_force || !IsFresh(table.freshness, tick.now);
+  judgement.fenced =
+      !table.in_force || !IsFresh(table.freshness, table.fresh_for, tick.now);
   judgement.join = {table.in_force != nullptr, judgement.held.version,
                     HighestHeard(table, peers), contact};
   if (!table.options.join_needs_peers)
--- a/src/process/versions/version_table.cc
+++ b/src/process/versions/version_table.cc
@@ -56,7 +56,16 @@
   OrderedLock lock(table.mutex);
   if (!table.in_force)
     return false;
-  return !table.options.fence_when_stale || IsFresh(table.freshness, now);
+  return !table.options.fence_when_stale ||
+         IsFresh(table.freshness, table.fresh_for, now);
+}
+
+void NoteConfirmed(VersionTable& table,
+                   const std::optional<TimePoint>& confirmed,
+                   TimePoint now) {
+  OrderedLock lock(table.mutex);
+  Look(table.freshness, now);
+  KeepLatest(table.freshness.own_read, confirmed);
 }
 
 ApplyOutcome ApplyCandidate(VersionTable& table, VersionPtr candidate) {
--- a/src/process/versions/version_table.h
+++ b/src/process/versions/version_table.h
@@ -39,6 +39,8 @@
   VersionPtr approved;
   std::vector<PlannedChange> applied_changes;
   Freshness freshness;
+  /** How long a confirmation allows keyed requests. */
+  Duration fresh_for = kFreshFor;
   ReadSchedule reads;
   DocumentRequestState request;
   /** The latest documents that were rejected, oldest first. */
@@ -55,6 +57,14 @@
 /** True if keyed requests may run: the configuration is fresh enough. */
 bool MayServeKeyed(const VersionTable& table, TimePoint now);
 
+/**
+ * Notes when the version in force was last known to be the latest one, if it
+ * ever was. To be called at least every kPauseGap: a longer gap is a pause.
+ */
+void NoteConfirmed(VersionTable& table,
+                   const std::optional<TimePoint>& confirmed,
+                   TimePoint now);
+
 /** Puts a checked version in force if it is newer. */
 ApplyOutcome ApplyCandidate(VersionTable& table, VersionPtr candidate);
 
--- a/tests/membership/freshness_test.cc
+++ b/tests/membership/freshness_test.cc
@@ -73,16 +73,16 @@
   FakeClock clock;
   Freshness freshness;
   Look(freshness, clock.Now());
-  EXPECT_FALSE(IsFresh(freshness, clock.Now()));
+  EXPECT_FALSE(IsFresh(freshness, kFreshFor, clock.Now()));
   freshness.relayed_read = clock.Now();
   freshness.half_contact = clock.Now() + seconds(1);
   for (int i = 0; i < 10; ++i) {
     clock.Advance(milliseconds(400));
     Look(freshness, clock.Now());
-    EXPECT_TRUE(IsFresh(freshness, clock.Now()));
+    EXPECT_TRUE(IsFresh(freshness, kFreshFor, clock.Now()));
   }
   clock.Advance(milliseconds(1));
-  EXPECT_FALSE(IsFresh(freshness, clock.Now()));
+  EXPECT_FALSE(IsFresh(freshness, kFreshFor, clock.Now()));
 }
 
 // Guards against the first request after a pause, which may come before the
@@ -93,11 +93,11 @@
   Look(freshness, clock.Now());
   freshness.own_read = clock.Now();
   clock.Advance(milliseconds(501));
-  EXPECT_FALSE(IsFresh(freshness, clock.Now()));
+  EXPECT_FALSE(IsFresh(freshness, kFreshFor, clock.Now()));
   EXPECT_TRUE(Look(freshness, clock.Now()));
-  EXPECT_FALSE(IsFresh(freshness, clock.Now()));
+  EXPECT_FALSE(IsFresh(freshness, kFreshFor, clock.Now()));
   freshness.own_read = clock.Now();
-  EXPECT_TRUE(IsFresh(freshness, clock.Now()));
+  EXPECT_TRUE(IsFresh(freshness, kFreshFor, clock.Now()));
 }
 
 class ContactTest : public testing::Test {
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -160,7 +160,8 @@
             {"BudgetSlack", 58},
             {"GraceS", 6},
             {"ProbesPerS", 60},
-            {"FailClosed", false}}}};
+            {"RevokeMs", 5000},
+            {"FailClosed", plan_.fail_closed}}}};
 }
 
 std::string PlatformFleet::SettingsPath(int index) const {
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -27,6 +27,8 @@
   /** Relays before servers, callers' ports and, for each instance, the store.
    */
   bool relays = false;
+  /** Keys are refused where they may have been withdrawn unheard. */
+  bool fail_closed = false;
 };
 
 /** The platform's stand-ins and real instances on loopback addresses. */
--- a/tests/platform_fleet/platform_fleet_test.cc
+++ b/tests/platform_fleet/platform_fleet_test.cc
@@ -18,6 +18,7 @@
 // The users' bounds.
 constexpr milliseconds kInForce(2000);
 constexpr milliseconds kEvacuated(5000);
+constexpr milliseconds kRevoke(5000);
 constexpr seconds kGrace(6);
 constexpr seconds kRecovery(15);
 
@@ -99,6 +100,32 @@
       kStart));
 }
 
+// Guards against an installation that is to refuse keys when it may be behind,
+// and refuses all of them although its copy of the store is current.
+TEST(PlatformFleetTest, FailClosedServesWhileTheCopyIsCurrent) {
+  PlatformPlan plan;
+  plan.fail_closed = true;
+  plan.relays = true;
+  PlatformFleet fleet(plan);
+  ASSERT_TRUE(fleet.WaitUntilReady(kStart));
+  // Longer than a copy may be old, so that it has to be confirmed again.
+  const auto end = std::chrono::steady_clock::now() + 2 * kRevoke;
+  for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+    ASSERT_EQ(fleet.Call(fleet.caller(i % fleet.instances()), "a").status, 200)
+        << i;
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  for (int i = 0; i < fleet.instances(); ++i)
+    fleet.store_relay(i).Cut();
+  const auto refused = [&fleet] {
+    return fleet.Call(fleet.caller(0), "b").status == 503;
+  };
+  EXPECT_TRUE(WaitFor(refused, kRevoke));
+  for (int i = 0; i < fleet.instances(); ++i)
+    fleet.store_relay(i).Heal();
+  EXPECT_TRUE(WaitFor([&] { return !refused(); }, kRevoke));
+}
+
 // Guards against a process that a changed settings file ends, and against
 // faulty settings that replace good ones.
 TEST(PlatformFleetTest, ChangedSettingsKeepServing) {
