Hold the loopback network of each test fleet by a socket

Cause: test fleets took 127.N with N = process id modulo 200, twice in the code. Two processes 200 ids apart, such as a soak beside make test, shared their addresses, and one would call the programs of the other. Ruled out as the cause of the known red: ctest runs these tests one at a time. Change: LoopbackNetwork holds an address of its network by a listening socket and takes the next network if that is taken.

--- /dev/null
+++ b/tests/fleet/harness/loopback_network.h
@@ -0,0 +1,31 @@
+#ifndef TESTS_FLEET_HARNESS_LOOPBACK_NETWORK_H_
+#define TESTS_FLEET_HARNESS_LOOPBACK_NETWORK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace mangodoor {
+
+/**
+ * A /16 of the loopback network. A socket holds it for as long as this object
+ * lives, so that fleets of tests, soaks and benches that run side by side
+ * never share an address.
+ */
+class LoopbackNetwork {
+ public:
+  /** Throws std::runtime_error if all of them are taken. */
+  LoopbackNetwork();
+
+  /** The address of host `index` of a group; both count from 0 to 253. */
+  std::string Host(int group, int index) const;
+
+ private:
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor claim_{io_};
+  std::string prefix_;
+};
+
+}  // namespace mangodoor
+
+#endif  // TESTS_FLEET_HARNESS_LOOPBACK_NETWORK_H_
--- a/tests/fleet/harness/test_fleet.cc
+++ b/tests/fleet/harness/test_fleet.cc
@@ -31,13 +31,6 @@
 constexpr uint16_t kConfigurationPort = 7100;
 constexpr uint16_t kListPort = 7200;
 
-// Tests run side by side in several processes.
-std::string NetworkOfThisProcess() {
-  constexpr int kFirst = 20;
-  constexpr int kCount = 200;
-  return "127." + std::to_string(kFirst + getpid() % kCount) + ".";
-}
-
 }  // namespace
 
 bool WaitFor(const std::function<bool()>& condition,
@@ -51,8 +44,7 @@
   return true;
 }
 
-TestFleet::TestFleet(const FleetPlan& plan)
-    : plan_(plan), network_(NetworkOfThisProcess()) {
+TestFleet::TestFleet(const FleetPlan& plan) : plan_(plan) {
   folder_ = (fs::temp_directory_path() /
              ("mangodoor-fleet-" + std::to_string(getpid())))
                 .string();
@@ -316,7 +308,7 @@
 }
 
 std::string TestFleet::Host(int group, int index) const {
-  return network_ + std::to_string(group) + "." + std::to_string(index + 1);
+  return network_.Host(group, index);
 }
 
 }  // namespace mangodoor
--- a/tests/fleet/harness/test_fleet.h
+++ b/tests/fleet/harness/test_fleet.h
@@ -11,6 +11,7 @@
 #include "fleet/harness/child_process.h"
 #include "fleet/harness/cut_relay.h"
 #include "fleet/harness/http_client.h"
+#include "fleet/harness/loopback_network.h"
 #include "version/endpoint.h"
 
 namespace mangodoor {
@@ -99,7 +100,7 @@
 
   FleetPlan plan_;
   std::string folder_;
-  std::string network_;
+  LoopbackNetwork network_;
   std::unique_ptr<ChildProcess> configuration_;
   std::vector<std::unique_ptr<ChildProcess>> lists_;
   std::vector<std::unique_ptr<ChildProcess>> servers_;
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -33,13 +33,6 @@
 constexpr int kServerPort = 9000;
 constexpr int kStorePort = 7100;
 
-// Tests run side by side in several processes.
-std::string NetworkOfThisProcess() {
-  constexpr int kFirst = 20;
-  constexpr int kCount = 200;
-  return "127." + std::to_string(kFirst + getpid() % kCount) + ".";
-}
-
 std::string ProgramPath(const std::string& name) {
   return BinaryFolder() + "/" + name;
 }
@@ -54,8 +47,7 @@
 
 }  // namespace
 
-PlatformFleet::PlatformFleet(const PlatformPlan& plan)
-    : plan_(plan), network_(NetworkOfThisProcess()) {
+PlatformFleet::PlatformFleet(const PlatformPlan& plan) : plan_(plan) {
   folder_ = (fs::temp_directory_path() /
              ("mangodoor-platform-" + std::to_string(getpid())))
                 .string();
@@ -88,7 +80,7 @@
 }
 
 std::string PlatformFleet::Host(int group, int index) const {
-  return network_ + std::to_string(group) + "." + std::to_string(index + 1);
+  return network_.Host(group, index);
 }
 
 Endpoint PlatformFleet::Address(int index, int port) const {
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -13,6 +13,7 @@
 #include "fleet/harness/child_process.h"
 #include "fleet/harness/cut_relay.h"
 #include "fleet/harness/http_client.h"
+#include "fleet/harness/loopback_network.h"
 #include "process/ordered_mutex.h"
 #include "process/status/instance_status.h"
 
@@ -111,7 +112,7 @@
                  const std::string& value) const;
 
   const PlatformPlan plan_;
-  std::string network_;
+  LoopbackNetwork network_;
   std::string folder_;
   std::unique_ptr<ChildProcess> store_;
   std::map<int, std::unique_ptr<CutRelay>> caller_relays_;
