Drop reads nobody asks about, and put accounts in order once

Found in the last read of the change; behaviour stays as it is. - NextFeedTick and NextRead were called by nothing: the feed is ticked with the members. - The part of a large data centre that a hub tells stood twice in its two rules. - Client accounts were put in order by each of two tables; the status does it. - The members' book never lists its own instance, so the status need not skip it.

--- a/src/process/accounts/account_table.cc
+++ b/src/process/accounts/account_table.cc
@@ -122,10 +122,6 @@
   std::vector<AccountStatus> statuses;
   for (const auto& [id, account] : table.book.accounts)
     statuses.push_back(StatusOf(id, account));
-  std::sort(statuses.begin(), statuses.end(),
-            [](const AccountStatus& a, const AccountStatus& b) {
-              return a.client_account < b.client_account;
-            });
   return statuses;
 }
 
--- a/src/process/accounts/usage_table.cc
+++ b/src/process/accounts/usage_table.cc
@@ -1,6 +1,5 @@
 #include "process/accounts/usage_table.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace mangodoor {
@@ -27,10 +26,6 @@
     status.refused = state.refused;
     statuses.push_back(std::move(status));
   }
-  std::sort(statuses.begin(), statuses.end(),
-            [](const AccountStatus& a, const AccountStatus& b) {
-              return a.client_account < b.client_account;
-            });
   return statuses;
 }
 
--- a/src/process/accounts/usage_table.h
+++ b/src/process/accounts/usage_table.h
@@ -13,7 +13,7 @@
   UsageBook book;
 };
 
-/** What this instance believes of each client account, by id. */
+/** What this instance believes of each client account, in any order. */
 std::vector<AccountStatus> AccountStatuses(const UsageTable& table,
                                            TimePoint now);
 
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -64,16 +64,19 @@
   return IsHub(place.rank) && place.neighbours.size() > kMostTold;
 }
 
+/** True if it falls to this hub to tell the instance, which is no hub. */
+bool IsInOwnPart(const FeedPlace& place, size_t rank) {
+  return !IsHub(rank) && rank % kHubsPerDataCentre == place.rank;
+}
+
 /** Whom an instance tells that has news before its neighbours. */
 bool TellsFirst(const FeedPlace& place, size_t rank) {
-  return !HubsShareTelling(place) || IsHub(rank) ||
-         rank % kHubsPerDataCentre == place.rank;
+  return !HubsShareTelling(place) || IsHub(rank) || IsInOwnPart(place, rank);
 }
 
 /** Whom an instance tells that was told by a neighbour. */
 bool TellsOn(const FeedPlace& place, size_t rank) {
-  return HubsShareTelling(place) && !IsHub(rank) &&
-         rank % kHubsPerDataCentre == place.rank;
+  return HubsShareTelling(place) && IsInOwnPart(place, rank);
 }
 
 /** Sends news to those linked instances of the data centre that `tells`. */
@@ -255,9 +258,4 @@
   return feed.replica.revision;
 }
 
-std::optional<TimePoint> NextFeedTick(const Feed& feed) {
-  OrderedLock lock(feed.mutex);
-  return NextRead(feed.reader);
-}
-
 }  // namespace mangodoor
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -99,9 +99,6 @@
 
 uint64_t FeedRevision(const Feed& feed);
 
-/** When TickFeed is to be called next at the latest, if that is known. */
-std::optional<TimePoint> NextFeedTick(const Feed& feed);
-
 }  // namespace mangodoor
 
 #endif  // PROCESS_REGISTRY_FEED_H_
--- a/src/process/registry/feed_reader.cc
+++ b/src/process/registry/feed_reader.cc
@@ -116,10 +116,4 @@
                                   reader.not_before.has_value());
 }
 
-std::optional<TimePoint> NextRead(const FeedReader& reader) {
-  if (reader.phase != FeedReader::Phase::kIdle)
-    return std::nullopt;
-  return reader.not_before;
-}
-
 }  // namespace mangodoor
--- a/src/process/registry/feed_reader.h
+++ b/src/process/registry/feed_reader.h
@@ -75,9 +75,6 @@
 /** True if this instance reads, or has just read and goes on soon. */
 bool IsReading(const FeedReader& reader);
 
-/** When PlanRead may have something to start; no value while a read runs. */
-std::optional<TimePoint> NextRead(const FeedReader& reader);
-
 }  // namespace mangodoor
 
 #endif  // PROCESS_REGISTRY_FEED_READER_H_
--- a/src/process/status/fleet_status.cc
+++ b/src/process/status/fleet_status.cc
@@ -13,8 +13,6 @@
   status.rank = OwnRank(table.book);
   status.calls_per_s = FleetCallsPerS(table.calls, now);
   for (const auto& [id, entry] : table.book.members) {
-    if (id == table.book.self.id)
-      continue;
     MemberStatus member;
     member.member = entry.member;
     member.linked = table.links.count(id) > 0;
--- a/src/process/status/instance_status.cc
+++ b/src/process/status/instance_status.cc
@@ -1,5 +1,7 @@
 #include "process/status/instance_status.h"
 
+#include <algorithm>
+
 #include "process/tables.h"
 
 namespace mangodoor {
@@ -64,6 +66,10 @@
   status.accounts = policy == LimitPolicy::kSharedUsage
                         ? AccountStatuses(tables.usage, now)
                         : AccountStatuses(tables.accounts, now);
+  std::sort(status.accounts.begin(), status.accounts.end(),
+            [](const AccountStatus& a, const AccountStatus& b) {
+              return a.client_account < b.client_account;
+            });
   if (fleet)
     status.fleet = StatusOf(*fleet, now);
   return status;
