Extract the limit of log lines from the request log

The log of refused entries and of faulty responses needs the same bound on its volume: so many lines a second, and a count of those that were not written. The behaviour of the request log is unchanged; RequestLogTest covers it.

--- a/src/request/io/request_log.cc
+++ b/src/request/io/request_log.cc
@@ -1,7 +1,6 @@
 #include "request/io/request_log.h"
 
 #include <cmath>
-#include <utility>
 
 #include "process/io/log.h"
 
@@ -10,7 +9,6 @@
 
 // At about 500 bytes a line, an instance writes at most 50 kB a second.
 constexpr int kLinesPerSecond = 100;
-constexpr std::chrono::seconds kRateWindow{1};
 
 double Milliseconds(Duration duration) {
   // A tenth of a millisecond is precise enough, and keeps lines short.
@@ -21,27 +19,15 @@
 
 }  // namespace
 
-bool RequestLog::AdmitLine() {
-  int not_logged = 0;
-  bool may_write = false;
-  {
-    OrderedLock lock(mutex_);
-    const TimePoint now = clock_.Now();
-    if (now - second_start_ >= kRateWindow) {
-      second_start_ = now;
-      written_ = 0;
-      not_logged = std::exchange(not_logged_, 0);
-    }
-    may_write = written_ < kLinesPerSecond;
-    ++(may_write ? written_ : not_logged_);
-  }
-  if (not_logged > 0)
-    Log(LogLevel::kWarning, "requests_not_logged", {{"count", not_logged}});
-  return may_write;
-}
+RequestLog::RequestLog(const Clock& clock)
+    : clock_(clock), limiter_(clock, kLinesPerSecond) {}
 
 void RequestLog::Write(const RequestTrace& trace) {
-  if (!AdmitLine())
+  const LineLimiter::Admission admission = limiter_.Admit();
+  if (admission.dropped > 0)
+    Log(LogLevel::kWarning, "requests_not_logged",
+        {{"count", admission.dropped}});
+  if (!admission.admitted)
     return;
   std::vector<LogField> fields = {
       {"id", trace.id},
--- a/src/request/io/request_log.h
+++ b/src/request/io/request_log.h
@@ -1,10 +1,8 @@
 #ifndef REQUEST_IO_REQUEST_LOG_H_
 #define REQUEST_IO_REQUEST_LOG_H_
 
-#include <atomic>
-
 #include "process/clock.h"
-#include "process/ordered_mutex.h"
+#include "process/io/line_limiter.h"
 #include "request/request_trace.h"
 
 namespace mangodoor {
@@ -16,19 +14,13 @@
  */
 class RequestLog {
  public:
-  explicit RequestLog(const Clock& clock) : clock_(clock) {}
+  explicit RequestLog(const Clock& clock);
 
   void Write(const RequestTrace& trace);
 
  private:
-  bool AdmitLine();
-
   const Clock& clock_;
-  OrderedMutex mutex_{LockRank::kAudit};
-  // Guarded by `mutex_`.
-  TimePoint second_start_{};
-  int written_ = 0;
-  int not_logged_ = 0;
+  LineLimiter limiter_;
 };
 
 }  // namespace mangodoor
