Record faulty responses of backend servers

When a caller got bytes that were no answer, nothing told afterwards whether a server had sent an extra response, bytes behind a complete one, or a response without the id of the request. Each such fault is now counted (mangodoor_response_faults_total), and the log line of the request that was running lists them with the id and status of the faulty response, at most six a request. Bytes on an idle connection get a line with the id of the last request, at most ten lines a second. No decision changes.

--- a/src/connection/io/backend_connection_pool.cc
+++ b/src/connection/io/backend_connection_pool.cc
@@ -6,6 +6,9 @@
 #include <cerrno>
 #include <utility>
 
+#include "process/io/line_limiter.h"
+#include "process/io/log.h"
+
 namespace mangodoor {
 namespace {
 
@@ -13,6 +16,9 @@
 // are checked when they are taken.
 constexpr std::chrono::seconds kMinIdleBeforeCheck{1};
 
+constexpr int kFaultLinesPerSecond = 10;
+constexpr size_t kMaxLoggedId = 64;
+
 struct ConnectionWaiter {
   uint64_t ticket = 0;
   BackendConnectionPool::ReadyCallback ready;
@@ -28,15 +34,18 @@
   int limit = 1;
 };
 
-/**
- * True if there is nothing to read. An idle connection that is readable was
- * closed by the server or has received a late response.
- */
-bool IsReusable(BackendConnection& connection) {
+/** State of a connection that no request uses. */
+enum class IdleState { kReusable, kClosedByServer, kHasBytes };
+
+IdleState StateOf(BackendConnection& connection) {
   char byte = 0;
   const ssize_t received = ::recv(connection.socket->native_handle(), &byte, 1,
                                   MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (received > 0)
+    return IdleState::kHasBytes;
+  const bool would_block =
+      received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return would_block ? IdleState::kReusable : IdleState::kClosedByServer;
 }
 
 void Close(BackendConnection& connection) {
@@ -54,17 +63,20 @@
       : transport(backend_transport),
         clock(pool_clock),
         counters(pool_counters),
-        limits(pool_limits) {}
+        limits(pool_limits),
+        fault_lines(pool_clock, kFaultLinesPerSecond) {}
 
   BackendTransport& transport;
   const Clock& clock;
   Counters& counters;
   BackendConnectionLimits limits;
+  LineLimiter fault_lines;
   OrderedMutex mutex{LockRank::kConnection};
   // Guarded by `mutex`.
   std::map<Endpoint, ServerConnections> servers;
   uint64_t next_ticket = 1;
 
+  bool IsReusable(BackendConnection& connection);
   void PutBack(BackendConnectionPtr connection);
   int ReserveOpens(ServerConnections& connections);
   void StartOpens(const Endpoint& endpoint, int count);
@@ -73,6 +85,22 @@
                   std::shared_ptr<BackendSocket> socket);
 };
 
+bool BackendConnectionPool::State::IsReusable(BackendConnection& connection) {
+  const IdleState state = StateOf(connection);
+  if (state == IdleState::kHasBytes) {
+    constexpr ResponseFault kFault = ResponseFault::kBytesWhileIdle;
+    ++counters.response_faults[static_cast<size_t>(kFault)];
+    const LineLimiter::Admission admission = fault_lines.Admit();
+    if (admission.admitted)
+      Log(LogLevel::kWarning, "backend_connection_closed",
+          {{"fault", Name(kFault)},
+           {"endpoint", ToString(connection.endpoint)},
+           {"last_id", connection.last_request_id.substr(0, kMaxLoggedId)},
+           {"lines_not_logged", admission.dropped}});
+  }
+  return state == IdleState::kReusable;
+}
+
 // Called with the lock held. Reserves no more opens than there are waiters.
 int BackendConnectionPool::State::ReserveOpens(ServerConnections& connections) {
   int count = 0;
@@ -170,7 +198,7 @@
       connection = std::move(found->second.idle.back());
       found->second.idle.pop_back();
     }
-    if (IsReusable(*connection)) {
+    if (state_->IsReusable(*connection)) {
       ++state_->counters.backend_reuses;
       return connection;
     }
@@ -250,7 +278,7 @@
   }
   for (BackendConnectionPtr& connection : to_check) {
     const bool expired = now - connection->idle_since >= state_->limits.idle;
-    if (expired || !IsReusable(*connection))
+    if (expired || !state_->IsReusable(*connection))
       Discard(std::move(connection));
     else
       state_->PutBack(std::move(connection));
--- a/src/connection/io/backend_connection_pool.h
+++ b/src/connection/io/backend_connection_pool.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "connection/io/backend_transport.h"
@@ -28,6 +29,8 @@
   /** True if the connection has been returned to the pool before. */
   bool reused = false;
   TimePoint idle_since;
+  /** Id of the last request that was sent; empty if it had none. */
+  std::string last_request_id;
 };
 
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 
+#include "connection/response_fault.h"
 #include "process/duration_histogram.h"
 #include "process/error_kind.h"
 
@@ -27,6 +28,8 @@
   std::atomic<uint64_t> cancelled{0};
   std::atomic<uint64_t> backend_connections{0};
   std::atomic<uint64_t> backend_reuses{0};
+  /** Faulty responses of backend servers, by ResponseFault. */
+  std::array<std::atomic<uint64_t>, kResponseFaultCount> response_faults{};
   std::atomic<uint64_t> probes{0};
   std::atomic<uint64_t> peer_messages_sent{0};
   std::atomic<uint64_t> peer_messages_received{0};
--- a/src/process/status/io/metrics.cc
+++ b/src/process/status/io/metrics.cc
@@ -129,6 +129,17 @@
   }
 }
 
+void AddResponseFaultCounters(Registry& registry, const Counters& counters) {
+  auto& family = prometheus::BuildCounter()
+                     .Name("mangodoor_response_faults_total")
+                     .Help("Faulty responses of backend servers.")
+                     .Register(registry);
+  for (size_t i = 0; i < kResponseFaultCount; ++i) {
+    family.Add({{"fault", Name(static_cast<ResponseFault>(i))}})
+        .Increment(static_cast<double>(counters.response_faults[i].load()));
+  }
+}
+
 void AddInstanceGauges(Registry& registry, const InstanceStatus& status) {
   // Has the value of /readyz, which can be 0 while keyed requests are served.
   AddGauges(registry, "mangodoor_ready",
@@ -240,6 +251,7 @@
   AddDataPathCounters(registry, counters);
   AddControlPlaneCounters(registry, counters);
   AddErrorCounters(registry, counters);
+  AddResponseFaultCounters(registry, counters);
   AddDurationHistograms(registry, counters);
   AddInstanceGauges(registry, status);
   if (status.fleet)
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -112,8 +112,8 @@
                                AttemptHistory& history,
                                const std::function<void()>& on_sent,
                                YieldContext yield) {
-  attempt_ =
-      std::make_shared<BackendAttempt>(context_, strand_, request_, server);
+  attempt_ = std::make_shared<BackendAttempt>(context_, strand_, request_,
+                                              server, response_faults_);
   if (interrupted_)
     attempt_->Abort(*interrupted_);
   ArmHedge(history);
@@ -175,7 +175,7 @@
     return;
   ++context_.tables.counters.hedges;
   hedge_ = std::make_shared<BackendAttempt>(context_, strand_, request_,
-                                            reply.chosen);
+                                            reply.chosen, response_faults_);
   // JoinHedge and Abandon wait for the coroutine, so `this` outlives it.
   asio::spawn(strand_, [this](YieldContext yield) { RunHedge(yield); });
 }
--- a/src/request/io/attempt_race.h
+++ b/src/request/io/attempt_race.h
@@ -69,6 +69,9 @@
   /** All attempts that have ended, for the log. */
   const std::vector<AttemptTrace>& traces() const { return traces_; }
 
+  /** Faulty responses that the attempts have seen, for the log. */
+  const ResponseFaults& response_faults() const { return response_faults_; }
+
   /** Ends all attempts after an exception. */
   void Abandon(YieldContext yield);
 
@@ -94,6 +97,7 @@
   const OutgoingRequest& request_;
   std::vector<BackendServerId> tried_servers_;
   std::vector<AttemptTrace> traces_;
+  ResponseFaults response_faults_;
   /** Time spent waiting for the latest server. */
   Duration server_wait_{};
   std::shared_ptr<BackendAttempt> attempt_;
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -39,11 +39,13 @@
 BackendAttempt::BackendAttempt(const SessionContext& context,
                                Strand strand,
                                const OutgoingRequest& request,
-                               ChosenServer server)
+                               ChosenServer server,
+                               ResponseFaults& faults)
     : context_(context),
       strand_(std::move(strand)),
       request_(request),
       server_(std::move(server)),
+      faults_(faults),
       started_at_(context.clock.Now()) {}
 
 AttemptReport BackendAttempt::Run(const std::function<void()>& on_sent,
@@ -186,8 +188,10 @@
     if (auto failed = ReadNextHead(yield))
       return *failed;
     const unsigned status = parser_->get().result_int();
-    if (status == kStatusSwitchingProtocols)
+    if (status == kStatusSwitchingProtocols) {
+      RecordFault(ResponseFault::kProtocolSwitched);
       return AttemptReport::End::kBadResponse;
+    }
     // Interim responses are not forwarded: this instance answers Expect itself.
     if (status < kStatusOk)
       continue;
@@ -207,13 +211,19 @@
 }
 
 /** False for a late second response to an earlier request. */
-bool BackendAttempt::IsResponseToThisRequest() const {
+bool BackendAttempt::IsResponseToThisRequest() {
   if (request_.id.empty())
     return true;
   const auto field = header_.find(context_.http_profile.request_id);
-  return field == header_.end() ||
-         std::string_view(field->value().data(), field->value().size()) ==
-             request_.id;
+  if (field == header_.end()) {
+    RecordFault(ResponseFault::kNoRequestId);
+    return true;
+  }
+  if (std::string_view(field->value().data(), field->value().size()) ==
+      request_.id)
+    return true;
+  RecordFault(ResponseFault::kExtraResponse);
+  return false;
 }
 
 /**
@@ -232,8 +242,10 @@
   buffered_body_.clear();
   while (!parser_->is_done() && buffered_body_.size() < kMaxBufferedBody) {
     if (DecodeBody(*parser_, connection_->buffer, buffered_body_,
-                   kMaxBufferedBody))
+                   kMaxBufferedBody)) {
+      RecordFault(ResponseFault::kMalformedBody);
       return AttemptReport::End::kBadResponse;
+    }
     if (parser_->is_done() || buffered_body_.size() >= kMaxBufferedBody)
       break;
     boost::system::error_code error = ReadSome(yield);
@@ -255,8 +267,12 @@
       return AttemptReport::End::kConnectionLost;
     ScanHeader(scan, BytesOf(buffer), kMaxResponseHeader);
   }
-  if (scan.state != HeaderScan::State::kComplete)
+  if (scan.state != HeaderScan::State::kComplete) {
+    RecordFault(scan.state == HeaderScan::State::kTooLarge
+                    ? ResponseFault::kHeadTooLarge
+                    : ResponseFault::kMalformedHead);
     return AttemptReport::End::kBadResponse;
+  }
   parser_.emplace();
   parser_->header_limit(kMaxResponseHeader);
   parser_->body_limit(kNoBodyLimit);
@@ -264,14 +280,18 @@
   boost::system::error_code error;
   parser_->put(asio::buffer(buffer.cdata(), scan.size), error);
   buffer.consume(scan.size);
-  if (error || !parser_->is_header_done())
+  if (error || !parser_->is_header_done()) {
+    RecordFault(ResponseFault::kMalformedHead);
     return AttemptReport::End::kBadResponse;
+  }
   return std::nullopt;
 }
 
-AttemptReport::End BackendAttempt::ClassifyResponse() const {
-  if (IsBrokenResponse())
+AttemptReport::End BackendAttempt::ClassifyResponse() {
+  if (const auto fault = FaultOfResponse()) {
+    RecordFault(*fault);
     return AttemptReport::End::kBadResponse;
+  }
   if (!context_.http_profile.not_run.empty() &&
       header_[context_.http_profile.not_run] == "1")
     return AttemptReport::End::kRefusedByServer;
@@ -289,18 +309,17 @@
   }
 }
 
-/**
- * True if the response counts as broken: it has a content encoding that the
- * profile rejects, or it is successful without the profile's signature field.
- */
-bool BackendAttempt::IsBrokenResponse() const {
+/** The reason why a well-formed response must not be forwarded, if any. */
+std::optional<ResponseFault> BackendAttempt::FaultOfResponse() const {
   const HttpProfile& http_profile = context_.http_profile;
   if (http_profile.rejects_encoded_responses &&
       header_.count(http::field::content_encoding) > 0)
-    return true;
+    return ResponseFault::kEncoded;
   const bool success = header_.result_int() / 100 == kSuccessClass;
-  return success && !http_profile.signature.empty() &&
-         header_.count(http_profile.signature) == 0;
+  if (success && !http_profile.signature.empty() &&
+      header_.count(http_profile.signature) == 0)
+    return ResponseFault::kNotSigned;
+  return std::nullopt;
 }
 
 void BackendAttempt::RecordLoad() {
@@ -319,6 +338,16 @@
   return report_;
 }
 
+void BackendAttempt::RecordFault(ResponseFault fault) {
+  ++context_.tables.counters.response_faults[static_cast<size_t>(fault)];
+  ResponseFaultRecord record{server_.server, fault, status()};
+  if (has_header_ && !context_.http_profile.request_id.empty()) {
+    const auto id = header_[context_.http_profile.request_id];
+    record.response_id = std::string(id.data(), id.size());
+  }
+  Add(faults_, std::move(record));
+}
+
 // Not done in a destructor: when the program ends, coroutines are unwound after
 // the tables and the pool have been destroyed.
 void BackendAttempt::Finish(AttemptResult::End end, bool response_complete) {
@@ -327,6 +356,9 @@
     const bool keep =
         !aborted_ && (response_complete ? parser_ && parser_->keep_alive()
                                         : !report_.bytes_sent);
+    if (keep && connection_->buffer.size() > 0)
+      RecordFault(ResponseFault::kBytesAfterResponse);
+    connection_->last_request_id = request_.id;
     if (keep)
       context_.pool.Return(std::move(connection_));
     else
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -11,6 +11,7 @@
 #include "connection/io/session_context.h"
 #include "connection/io/strand.h"
 #include "connection/io/strand_signal.h"
+#include "connection/response_fault.h"
 #include "request/attempt.h"
 #include "request/io/body_reader.h"
 #include "request/io/message_head.h"
@@ -27,7 +28,8 @@
   BackendAttempt(const SessionContext& context,
                  Strand strand,
                  const OutgoingRequest& request,
-                 ChosenServer server);
+                 ChosenServer server,
+                 ResponseFaults& faults);
   BackendAttempt(const BackendAttempt&) = delete;
   BackendAttempt& operator=(const BackendAttempt&) = delete;
 
@@ -54,6 +56,9 @@
    */
   void Finish(AttemptResult::End end, bool response_complete);
 
+  /** Counts a fault of the response, and records it for the log. */
+  void RecordFault(ResponseFault fault);
+
   /** Ends an attempt whose response, if there is one, is not forwarded. */
   void FinishUnused(const AttemptReport& report);
 
@@ -84,11 +89,11 @@
   bool Send(YieldContext yield);
   AttemptReport::End ReadResponseHead(YieldContext yield);
   std::optional<AttemptReport::End> ReadNextHead(YieldContext yield);
-  bool IsResponseToThisRequest() const;
+  bool IsResponseToThisRequest();
   bool SkipResponseBody(YieldContext yield);
   AttemptReport::End BufferBody(YieldContext yield);
-  AttemptReport::End ClassifyResponse() const;
-  bool IsBrokenResponse() const;
+  AttemptReport::End ClassifyResponse();
+  std::optional<ResponseFault> FaultOfResponse() const;
   AttemptReport FinishReport(AttemptReport::End end);
   void RecordLoad();
 
@@ -96,6 +101,7 @@
   Strand strand_;
   const OutgoingRequest& request_;
   ChosenServer server_;
+  ResponseFaults& faults_;
   BackendConnectionPtr connection_;
   std::shared_ptr<OneShotChannel<BackendConnectionPtr>> connection_channel_;
   boost::optional<ResponseParser> parser_;
--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -77,6 +77,7 @@
   if (request_.target_at != TimePoint::max())
     trace_.target = request_.target_at - trace_.began;
   trace_.attempts = race_.traces();
+  trace_.response_faults = race_.response_faults();
   context_.request_log->Write(trace_);
 }
 
--- a/src/request/io/request_log.cc
+++ b/src/request/io/request_log.cc
@@ -49,6 +49,8 @@
   }
   if (!trace.attempts.empty())
     fields.emplace_back("attempts", Describe(trace.attempts));
+  if (!trace.response_faults.records.empty())
+    fields.emplace_back("response_faults", Describe(trace.response_faults));
   Log(LogLevel::kInfo, "request", fields);
 }
 
--- a/src/request/io/response_relay.cc
+++ b/src/request/io/response_relay.cc
@@ -91,8 +91,10 @@
                                           options.close, context.http_profile);
   std::string decoded = attempt.TakeBufferedBody();
   for (;;) {
-    if (DecodeBody(parser, attempt.buffer(), decoded, kRelayBufferSize))
+    if (DecodeBody(parser, attempt.buffer(), decoded, kRelayBufferSize)) {
+      attempt.RecordFault(ResponseFault::kMalformedBody);
       return RelayEnd::kServerFailed;
+    }
     AppendBody(out, decoded, framing);
     decoded.clear();
     if (parser.is_done()) {
--- a/src/request/request_trace.h
+++ b/src/request/request_trace.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "connection/response_fault.h"
 #include "process/clock.h"
 #include "process/error_kind.h"
 #include "process/servers/work_model.h"
@@ -50,6 +51,7 @@
   std::optional<Duration> deadline;
   std::optional<Duration> target;
   std::vector<AttemptTrace> attempts;
+  ResponseFaults response_faults;
   /** Status of the response to the caller; 0 if there was none. */
   int status = 0;
   /** Set if this instance answered with an error. */
--- a/tests/connection/data_path_fixture.h
+++ b/tests/connection/data_path_fixture.h
@@ -58,6 +58,10 @@
     return tables_.counters.errors[static_cast<size_t>(kind)];
   }
 
+  uint64_t FaultCount(ResponseFault fault) const {
+    return tables_.counters.response_faults[static_cast<size_t>(fault)];
+  }
+
   TimeLimits limits_;
   HttpProfile http_profile_;
   BackendConnectionLimits pool_limits_;
--- a/tests/connection/request_lines_test.cc
+++ b/tests/connection/request_lines_test.cc
@@ -6,6 +6,7 @@
 namespace mangodoor {
 namespace {
 
+using testing::AllOf;
 using testing::HasSubstr;
 using testing::Not;
 
@@ -30,6 +31,8 @@
   RequestLog log_{clock_};
 };
 
+constexpr std::chrono::milliseconds kPause{50};
+
 constexpr char kRequest[] =
     "GET /open HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\n"
     "Connection: close\r\n\r\n";
@@ -56,5 +59,61 @@
   EXPECT_THAT(attempts, Not(HasSubstr("200")));
 }
 
+// Guards against a response to an earlier request that leaves no trace in the
+// log of the request that was running.
+TEST_F(RequestLinesTest, ExtraResponseIsLoggedWithItsId) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(
+        "HTTP/1.1 500 Error\r\nX-Id: r-0\r\nContent-Length: 0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok"
+        "more");
+  });
+  const auto line = LogLineOf(kRequest);
+  EXPECT_THAT(std::string(line["response_faults"]),
+              AllOf(HasSubstr("extra_response 500 of r-0"),
+                    HasSubstr("bytes_after_response 200 of r-1")));
+  EXPECT_EQ(FaultCount(ResponseFault::kExtraResponse), 1);
+  EXPECT_EQ(FaultCount(ResponseFault::kBytesAfterResponse), 1);
+}
+
+// Guards against a faulty server that fills the log.
+TEST_F(RequestLinesTest, FaultsOfOneRequestAreBounded) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    for (int i = 0; i < 20; ++i)
+      connection.Write("HTTP/1.1 500 Error\r\nX-Id: r-" +
+                       std::string(1000, '0') +
+                       "\r\nContent-Length: 0\r\n\r\n");
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok");
+  });
+  const std::string faults = LogLineOf(kRequest)["response_faults"];
+  EXPECT_THAT(faults, HasSubstr("and 14 more"));
+  EXPECT_LT(faults.size(), 1024);
+}
+
+// Guards against bytes on an idle connection that leave no trace in the log.
+TEST_F(RequestLinesTest, BytesWhileIdleAreLoggedWithTheLastId) {
+  StartWith([](TestConnection& connection) {
+    if (connection.ReadMessage().empty())
+      return;
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok");
+    std::this_thread::sleep_for(kPause);
+    connection.Write("late");
+    connection.ReadMessage();
+  });
+  testing::internal::CaptureStdout();
+  Exchange(kRequest);
+  std::this_thread::sleep_for(2 * kPause);
+  Exchange(kRequest);
+  const std::string text = testing::internal::GetCapturedStdout();
+  EXPECT_THAT(text, HasSubstr("\"backend_connection_closed\""));
+  EXPECT_THAT(text, HasSubstr("\"fault\":\"bytes_while_idle\""));
+  EXPECT_THAT(text, HasSubstr("\"last_id\":\"r-1\""));
+  EXPECT_EQ(FaultCount(ResponseFault::kBytesWhileIdle), 1);
+}
+
 }  // namespace
 }  // namespace mangodoor
