Add a failing test of a response behind an extra one

Read in the code: the body of a skipped extra response stays in the attempt and is written in front of a forwarded 502, 503 or 504.

--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -208,12 +208,33 @@
            "\r\n\r\n";
   }
 
+  static std::string Post(const std::string& id) {
+    return "POST /open HTTP/1.1\r\nHost: a\r\nX-Id: " + id +
+           "\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  /** Replaces all servers by one that runs `script`. */
+  void StartAgainWith(FakeServer::Script script) {
+    auto server = std::make_unique<FakeServer>(std::move(script));
+    if (!listener_) {
+      Start({server->endpoint()});
+    } else {
+      servers_ = {server->endpoint()};
+      Apply(MakeTestVersion(++version_number_));
+    }
+    earlier_servers_.push_back(std::move(server));
+  }
+
   static std::string SignedResponse(const std::string& id,
                                     const std::string& body) {
     return "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: " + id +
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
            body;
   }
+
+ private:
+  std::vector<std::unique_ptr<FakeServer>> earlier_servers_;
+  uint64_t version_number_ = 1;
 };
 
 // Guards against taking a late second response to a request for the response to
@@ -233,6 +254,31 @@
   EXPECT_THAT(caller.ReadMessage(), EndsWith("second"));
 }
 
+// Guards against a response that begins with bytes of another one.
+TEST_F(SigningServerTest, UnavailableBehindExtraResponseHasItsOwnBody) {
+  for (const char* status : {"502 Bad", "503 Busy", "504 Late"}) {
+    SCOPED_TRACE(status);
+    StartAgainWith([status](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(SignedResponse("one", "first"));
+      connection.ReadMessage();
+      connection.Write(SignedResponse("one", "again") + "HTTP/1.1 " + status +
+                       "\r\nX-Id: two\r\nContent-Length: 5\r\n\r\nthird");
+      connection.ReadMessage();
+      connection.Write(SignedResponse("three", "last"));
+    });
+    TestConnection caller = Connect();
+    caller.Write(Request("one", "/open"));
+    EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+    caller.Write(Post("two"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(HasSubstr(status), EndsWith("\r\n\r\nthird")));
+    caller.Write(Request("three", "/open"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(StartsWith("HTTP/1.1 200"), EndsWith("last")));
+  }
+}
+
 // Guards against a broken response that reaches a caller although another
 // server could be tried, and against a successful response that is accepted
 // without the server's signature.
