Give each response of a server its own state

Callers got bytes that were no response: a forwarded 502, 503 or 504 behind a skipped extra response began with the bytes of the skipped one under its own Content-Length, and its own body then stood in front of the next response of the connection.

Cause: parser, header, buffered body and status lived as long as the attempt, although an attempt can read several responses. Only the path that buffers a body cleared it, and these statuses are forwarded without buffering. By the same cause a connection could be kept after 101, judged by the parser of an interim response, and the log named the status of an extra response.

Now a ServerResponse lives as long as one response. Interim and extra ones are destroyed when they end; only the response to the request is kept, and only it decides whether the connection may be. A response that cannot be used no longer counts as complete, and its load report is not used.

--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -26,6 +26,10 @@
   return {static_cast<const char*>(data.data()), data.size()};
 }
 
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
 /** Appends a field, unless its name is empty because the interface lacks it. */
 void AppendField(std::string& out,
                  const std::string& name,
@@ -184,45 +188,44 @@
 }
 
 AttemptReport::End BackendAttempt::ReadResponseHead(YieldContext yield) {
-  for (;;) {
-    if (auto failed = ReadNextHead(yield))
+  while (!response_) {
+    auto response = std::make_unique<ServerResponse>();
+    if (auto failed = ReadHead(*response, yield))
       return *failed;
-    const unsigned status = parser_->get().result_int();
+    const unsigned status = response->header.result_int();
     if (status == kStatusSwitchingProtocols) {
-      RecordFault(ResponseFault::kProtocolSwitched);
+      RecordFault(ResponseFault::kProtocolSwitched, response.get());
       return AttemptReport::End::kBadResponse;
     }
     // Interim responses are not forwarded: this instance answers Expect itself.
     if (status < kStatusOk)
       continue;
-    header_ = std::move(parser_->get().base());
-    has_header_ = true;
-    if (IsResponseToThisRequest())
-      break;
-    if (!SkipResponseBody(yield))
+    if (IsResponseToThisRequest(*response))
+      response_ = std::move(response);
+    else if (!SkipBody(*response, yield))
       return AttemptReport::End::kBadResponse;
   }
-  RecordLoad();
   const AttemptReport::End end = ClassifyResponse();
+  if (end != AttemptReport::End::kBadResponse)
+    RecordLoad();
   if (end != AttemptReport::End::kResponse ||
       !context_.http_profile.buffers_responses)
     return end;
-  return BufferBody(yield);
+  return BufferBody(*response_, yield);
 }
 
 /** False for a late second response to an earlier request. */
-bool BackendAttempt::IsResponseToThisRequest() {
+bool BackendAttempt::IsResponseToThisRequest(const ServerResponse& response) {
   if (request_.id.empty())
     return true;
-  const auto field = header_.find(context_.http_profile.request_id);
-  if (field == header_.end()) {
-    RecordFault(ResponseFault::kNoRequestId);
+  const auto field = response.header.find(context_.http_profile.request_id);
+  if (field == response.header.end()) {
+    RecordFault(ResponseFault::kNoRequestId, &response);
     return true;
   }
-  if (std::string_view(field->value().data(), field->value().size()) ==
-      request_.id)
+  if (View(field->value()) == request_.id)
     return true;
-  RecordFault(ResponseFault::kExtraResponse);
+  RecordFault(ResponseFault::kExtraResponse, &response);
   return false;
 }
 
@@ -230,34 +233,37 @@
  * Reads past the body of a response. False if the end of the body is unknown,
  * is not reached, or lies beyond kMaxBufferedBody.
  */
-bool BackendAttempt::SkipResponseBody(YieldContext yield) {
-  if (!parser_->content_length() && !parser_->chunked())
+bool BackendAttempt::SkipBody(ServerResponse& response, YieldContext yield) {
+  if (!response.parser.content_length() && !response.parser.chunked())
     return false;
-  return BufferBody(yield) == AttemptReport::End::kResponse &&
-         parser_->is_done();
+  return BufferBody(response, yield) == AttemptReport::End::kResponse &&
+         response.parser.is_done();
 }
 
 /** Buffers the body until it is complete or the buffer is full. */
-AttemptReport::End BackendAttempt::BufferBody(YieldContext yield) {
-  buffered_body_.clear();
-  while (!parser_->is_done() && buffered_body_.size() < kMaxBufferedBody) {
-    if (DecodeBody(*parser_, connection_->buffer, buffered_body_,
-                   kMaxBufferedBody)) {
-      RecordFault(ResponseFault::kMalformedBody);
+AttemptReport::End BackendAttempt::BufferBody(ServerResponse& response,
+                                              YieldContext yield) {
+  ResponseParser& parser = response.parser;
+  std::string& body = response.buffered_body;
+  while (!parser.is_done() && body.size() < kMaxBufferedBody) {
+    if (DecodeBody(parser, connection_->buffer, body, kMaxBufferedBody)) {
+      RecordFault(ResponseFault::kMalformedBody, &response);
       return AttemptReport::End::kBadResponse;
     }
-    if (parser_->is_done() || buffered_body_.size() >= kMaxBufferedBody)
+    if (parser.is_done() || body.size() >= kMaxBufferedBody)
       break;
     boost::system::error_code error = ReadSome(yield);
     if (error == asio::error::eof)
-      parser_->put_eof(error);
+      parser.put_eof(error);
     if (error)
       return AttemptReport::End::kConnectionLost;
   }
   return AttemptReport::End::kResponse;
 }
 
-std::optional<AttemptReport::End> BackendAttempt::ReadNextHead(
+/** Reads the head of the next response on the connection. */
+std::optional<AttemptReport::End> BackendAttempt::ReadHead(
+    ServerResponse& response,
     YieldContext yield) {
   auto& buffer = connection_->buffer;
   HeaderScan scan;
@@ -270,20 +276,22 @@
   if (scan.state != HeaderScan::State::kComplete) {
     RecordFault(scan.state == HeaderScan::State::kTooLarge
                     ? ResponseFault::kHeadTooLarge
-                    : ResponseFault::kMalformedHead);
+                    : ResponseFault::kMalformedHead,
+                nullptr);
     return AttemptReport::End::kBadResponse;
   }
-  parser_.emplace();
-  parser_->header_limit(kMaxResponseHeader);
-  parser_->body_limit(kNoBodyLimit);
-  parser_->skip(request_.is_head);
+  ResponseParser& parser = response.parser;
+  parser.header_limit(kMaxResponseHeader);
+  parser.body_limit(kNoBodyLimit);
+  parser.skip(request_.is_head);
   boost::system::error_code error;
-  parser_->put(asio::buffer(buffer.cdata(), scan.size), error);
+  parser.put(asio::buffer(buffer.cdata(), scan.size), error);
   buffer.consume(scan.size);
-  if (error || !parser_->is_header_done()) {
-    RecordFault(ResponseFault::kMalformedHead);
+  if (error || !parser.is_header_done()) {
+    RecordFault(ResponseFault::kMalformedHead, nullptr);
     return AttemptReport::End::kBadResponse;
   }
+  response.header = std::move(parser.get().base());
   return std::nullopt;
 }
 
@@ -292,10 +300,11 @@
     RecordFault(*fault);
     return AttemptReport::End::kBadResponse;
   }
+  const ResponseHeader& header = response_->header;
   if (!context_.http_profile.not_run.empty() &&
-      header_[context_.http_profile.not_run] == "1")
+      header[context_.http_profile.not_run] == "1")
     return AttemptReport::End::kRefusedByServer;
-  switch (header_.result()) {
+  switch (header.result()) {
     case http::status::misdirected_request:
       return context_.http_profile.expected_server.empty()
                  ? AttemptReport::End::kResponse
@@ -312,20 +321,20 @@
 /** The reason why a well-formed response must not be forwarded, if any. */
 std::optional<ResponseFault> BackendAttempt::FaultOfResponse() const {
   const HttpProfile& http_profile = context_.http_profile;
+  const ResponseHeader& header = response_->header;
   if (http_profile.rejects_encoded_responses &&
-      header_.count(http::field::content_encoding) > 0)
+      header.count(http::field::content_encoding) > 0)
     return ResponseFault::kEncoded;
-  const bool success = header_.result_int() / 100 == kSuccessClass;
+  const bool success = header.result_int() / 100 == kSuccessClass;
   if (success && !http_profile.signature.empty() &&
-      header_.count(http_profile.signature) == 0)
+      header.count(http_profile.signature) == 0)
     return ResponseFault::kNotSigned;
   return std::nullopt;
 }
 
 void BackendAttempt::RecordLoad() {
-  const auto field = header_[context_.http_profile.load];
-  const LoadMetrics load =
-      context_.http_profile.parse_load({field.data(), field.size()});
+  const LoadMetrics load = context_.http_profile.parse_load(
+      View(response_->header[context_.http_profile.load]));
   result_.server_load = load.server_load;
   result_.reported_in_flight = load.in_flight;
   result_.reported_cold = load.cold;
@@ -338,12 +347,15 @@
   return report_;
 }
 
-void BackendAttempt::RecordFault(ResponseFault fault) {
+void BackendAttempt::RecordFault(ResponseFault fault,
+                                 const ServerResponse* response) {
   ++context_.tables.counters.response_faults[static_cast<size_t>(fault)];
-  ResponseFaultRecord record{server_.server, fault, status()};
-  if (has_header_ && !context_.http_profile.request_id.empty()) {
-    const auto id = header_[context_.http_profile.request_id];
-    record.response_id = std::string(id.data(), id.size());
+  ResponseFaultRecord record{server_.server, fault};
+  if (response) {
+    record.status = response->status();
+    if (!context_.http_profile.request_id.empty())
+      record.response_id =
+          std::string(View(response->header[context_.http_profile.request_id]));
   }
   Add(faults_, std::move(record));
 }
@@ -354,8 +366,9 @@
   finished_ = true;
   if (connection_) {
     const bool keep =
-        !aborted_ && (response_complete ? parser_ && parser_->keep_alive()
-                                        : !report_.bytes_sent);
+        !aborted_ &&
+        (response_complete ? response_ && response_->parser.keep_alive()
+                           : !report_.bytes_sent);
     if (keep && connection_->buffer.size() > 0)
       RecordFault(ResponseFault::kBytesAfterResponse);
     connection_->last_request_id = request_.id;
@@ -372,16 +385,19 @@
 }
 
 void BackendAttempt::FinishUnused(const AttemptReport& report) {
-  // If an unused response is short and has arrived completely, its connection
-  // can be kept.
-  bool complete = false;
-  if (connection_ && parser_ && !aborted_) {
-    std::string unused;
-    complete =
-        !DecodeBody(*parser_, connection_->buffer, unused, kMaxBufferedBody) &&
-        parser_->is_done();
-  }
-  Finish(ResultOf(report, static_cast<int>(header_.result_int())), complete);
+  const bool complete = report.end != AttemptReport::End::kBadResponse &&
+                        !aborted_ && IsResponseComplete();
+  Finish(ResultOf(report, status()), complete);
+}
+
+/** True if the response to the request is short and has arrived completely. */
+bool BackendAttempt::IsResponseComplete() {
+  if (!response_)
+    return false;
+  std::string unused;
+  return !DecodeBody(response_->parser, connection_->buffer, unused,
+                     kMaxBufferedBody) &&
+         response_->parser.is_done();
 }
 
 }  // namespace mangodoor
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -2,7 +2,6 @@
 #define REQUEST_IO_BACKEND_ATTEMPT_H_
 
 #include <boost/asio/spawn.hpp>
-#include <boost/optional.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -13,9 +12,8 @@
 #include "connection/io/strand_signal.h"
 #include "connection/response_fault.h"
 #include "request/attempt.h"
-#include "request/io/body_reader.h"
-#include "request/io/message_head.h"
 #include "request/io/outgoing_request.h"
+#include "request/io/server_response.h"
 
 namespace mangodoor {
 
@@ -56,8 +54,8 @@
    */
   void Finish(AttemptResult::End end, bool response_complete);
 
-  /** Counts a fault of the response, and records it for the log. */
-  void RecordFault(ResponseFault fault);
+  /** Counts a fault of response(), and records it for the log. */
+  void RecordFault(ResponseFault fault) { RecordFault(fault, response_.get()); }
 
   /** Ends an attempt whose response, if there is one, is not forwarded. */
   void FinishUnused(const AttemptReport& report);
@@ -65,21 +63,17 @@
   const ChosenServer& server() const { return server_; }
   /** Time from the choice of the server to the end of Run. */
   Duration latency() const { return result_.latency; }
-  /**
-   * Status of the last response, other than an interim one, whose head was
-   * read, even if it belonged to an earlier request; 0 if there was none.
-   */
-  int status() const {
-    return has_header_ ? static_cast<int>(header_.result_int()) : 0;
-  }
+  /** Status of the response to the request; 0 if its head was not read. */
+  int status() const { return response_ ? response_->status() : 0; }
   bool connection_was_reused() const { return was_reused_; }
   bool finished() const { return finished_; }
   bool aborted() const { return aborted_.has_value(); }
   AttemptReport& report() { return report_; }
-  ResponseParser& parser() { return *parser_; }
-  const ResponseHeader& header() const { return header_; }
-  /** The decoded start of the response body that Run buffered. */
-  std::string TakeBufferedBody() { return std::move(buffered_body_); }
+  /**
+   * The response to the request, not an interim one. Must be called only if Run
+   * reported a response.
+   */
+  ServerResponse& response() { return *response_; }
   boost::beast::flat_buffer& buffer() { return connection_->buffer; }
 
  private:
@@ -88,12 +82,15 @@
   std::optional<ErrorKind> RecheckAuthorisation();
   bool Send(YieldContext yield);
   AttemptReport::End ReadResponseHead(YieldContext yield);
-  std::optional<AttemptReport::End> ReadNextHead(YieldContext yield);
-  bool IsResponseToThisRequest();
-  bool SkipResponseBody(YieldContext yield);
-  AttemptReport::End BufferBody(YieldContext yield);
+  std::optional<AttemptReport::End> ReadHead(ServerResponse& response,
+                                             YieldContext yield);
+  bool IsResponseToThisRequest(const ServerResponse& response);
+  bool SkipBody(ServerResponse& response, YieldContext yield);
+  AttemptReport::End BufferBody(ServerResponse& response, YieldContext yield);
   AttemptReport::End ClassifyResponse();
   std::optional<ResponseFault> FaultOfResponse() const;
+  void RecordFault(ResponseFault fault, const ServerResponse* response);
+  bool IsResponseComplete();
   AttemptReport FinishReport(AttemptReport::End end);
   void RecordLoad();
 
@@ -104,15 +101,13 @@
   ResponseFaults& faults_;
   BackendConnectionPtr connection_;
   std::shared_ptr<OneShotChannel<BackendConnectionPtr>> connection_channel_;
-  boost::optional<ResponseParser> parser_;
-  ResponseHeader header_;
-  std::string buffered_body_;
+  /** The response to the request, once its head has been read. */
+  std::unique_ptr<ServerResponse> response_;
   AttemptReport report_;
   std::optional<AttemptReport::End> aborted_;
   AttemptResult result_;
   /** When the server was reserved. The latency is measured from here. */
   TimePoint started_at_;
-  bool has_header_ = false;
   bool was_reused_ = false;
   bool finished_ = false;
 };
--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -354,7 +354,7 @@
   if (!exchange_complete)
     attempt->Abort(AttemptReport::End::kCancelled);
   upload_.Stop(yield);
-  const auto status = static_cast<int>(attempt->header().result_int());
+  const int status = attempt->status();
   trace_.status = status;
   if (end == RelayEnd::kComplete) {
     ++context_.tables.counters.answered;
--- a/src/request/io/response_relay.cc
+++ b/src/request/io/response_relay.cc
@@ -38,7 +38,7 @@
   watchdog.Clear();
   if (error == asio::error::eof && !attempt.aborted()) {
     boost::system::error_code end_error;
-    attempt.parser().put_eof(end_error);
+    attempt.response().parser.put_eof(end_error);
     return end_error;
   }
   return error;
@@ -84,12 +84,13 @@
                        const SessionContext& context,
                        const RelayOptions& options,
                        YieldContext yield) {
-  ResponseParser& parser = attempt.parser();
-  const Framing framing = ResponseFraming(parser, attempt.header(), options);
+  ServerResponse& response = attempt.response();
+  ResponseParser& parser = response.parser;
+  const Framing framing = ResponseFraming(parser, response.header, options);
   Watchdog& watchdog = caller.request_watchdog();
-  std::string out = ForwardedResponseHead(attempt.header(), framing,
+  std::string out = ForwardedResponseHead(response.header, framing,
                                           options.close, context.http_profile);
-  std::string decoded = attempt.TakeBufferedBody();
+  std::string decoded = std::move(response.buffered_body);
   for (;;) {
     if (DecodeBody(parser, attempt.buffer(), decoded, kRelayBufferSize)) {
       attempt.RecordFault(ResponseFault::kMalformedBody);
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -279,6 +279,24 @@
   }
 }
 
+// Guards against a connection that is kept after its server has left HTTP.
+TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
+  StartWith([this](TestConnection& connection) {
+    if (++received_ == 1) {
+      connection.ReadMessage();
+      connection.Write("HTTP/1.1 101 Switching\r\nX-Id: one\r\n\r\n");
+    }
+    connection.ReadMessage();
+    connection.Write(SignedResponse("two", "second"));
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  caller.Write(Request("two", "/open"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("second"));
+  EXPECT_EQ(server_->connections(), 2);
+}
+
 // Guards against a broken response that reaches a caller although another
 // server could be tried, and against a successful response that is accepted
 // without the server's signature.
