Refuse responses without the id of the request

A faulty server that wrote an earlier refusal again, without an id, made an instance tell the caller 'not run' for a request that the server had taken, or send it to a second server. In the same way a 200 without an id reached a caller, whoever's it was.

Cause: a response without an id counted as the response to the running request, although the interface names an id field and servers repeat the id in every response. Now such a response has no known owner: the attempt ends as a broken response, its outcome is unknown, and the connection is closed. Interfaces without an id field, and requests without an id, are as before.

Evidence: RefusalWithoutIdIsNotTakenForThisRequest saw the request run at two servers, and ResponseWithoutIdReachesNoCaller got the body of the foreign response; both pass now, with the other 53 tests of the data path.

--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -200,9 +200,18 @@
     // Interim responses are not forwarded: this instance answers Expect itself.
     if (status < kStatusOk)
       continue;
-    if (IsResponseToThisRequest(*response))
+    const auto response_id = RequestIdOf(*response);
+    // A response without an id may be one to an earlier request.
+    if (!request_.id.empty() && !response_id) {
+      RecordFault(ResponseFault::kNoRequestId, response.get());
+      return AttemptReport::End::kBadResponse;
+    }
+    if (response_id.value_or("") == request_.id) {
       response_ = std::move(response);
-    else if (!SkipBody(*response, yield))
+      continue;
+    }
+    RecordFault(ResponseFault::kExtraResponse, response.get());
+    if (!SkipBody(*response, yield))
       return AttemptReport::End::kBadResponse;
   }
   const AttemptReport::End end = ClassifyResponse();
@@ -214,19 +223,15 @@
   return BufferBody(*response_, yield);
 }
 
-/** False for a late second response to an earlier request. */
-bool BackendAttempt::IsResponseToThisRequest(const ServerResponse& response) {
-  if (request_.id.empty())
-    return true;
-  const auto field = response.header.find(context_.http_profile.request_id);
-  if (field == response.header.end()) {
-    RecordFault(ResponseFault::kNoRequestId, &response);
-    return true;
-  }
-  if (View(field->value()) == request_.id)
-    return true;
-  RecordFault(ResponseFault::kExtraResponse, &response);
-  return false;
+/** Id of the request that `response` belongs to; unset if it has none. */
+std::optional<std::string_view> BackendAttempt::RequestIdOf(
+    const ServerResponse& response) const {
+  const std::string& name = context_.http_profile.request_id;
+  const auto field =
+      name.empty() ? response.header.end() : response.header.find(name);
+  if (field == response.header.end() || field->value().empty())
+    return std::nullopt;
+  return View(field->value());
 }
 
 /**
@@ -353,9 +358,7 @@
   ResponseFaultRecord record{server_.server, fault};
   if (response) {
     record.status = response->status();
-    if (!context_.http_profile.request_id.empty())
-      record.response_id =
-          std::string(View(response->header[context_.http_profile.request_id]));
+    record.response_id = std::string(RequestIdOf(*response).value_or(""));
   }
   Add(faults_, std::move(record));
 }
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -84,7 +84,8 @@
   AttemptReport::End ReadResponseHead(YieldContext yield);
   std::optional<AttemptReport::End> ReadHead(ServerResponse& response,
                                              YieldContext yield);
-  bool IsResponseToThisRequest(const ServerResponse& response);
+  std::optional<std::string_view> RequestIdOf(
+      const ServerResponse& response) const;
   bool SkipBody(ServerResponse& response, YieldContext yield);
   AttemptReport::End BufferBody(ServerResponse& response, YieldContext yield);
   AttemptReport::End ClassifyResponse();
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -279,6 +279,36 @@
   }
 }
 
+// Guards against "not run" for a request that its server runs.
+TEST_F(SigningServerTest, RefusalWithoutIdIsNotTakenForThisRequest) {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  StartTwo([&refusal](TestConnection& connection) {
+    connection.Write(refusal + SignedResponse("one", "run"));
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(),
+              AllOf(StartsWith("HTTP/1.1 502"),
+                    HasSubstr("Mangodoor-Outcome: unknown")));
+  EXPECT_EQ(received_, 1);
+}
+
+// Guards against a response of unknown origin that reaches a caller.
+TEST_F(SigningServerTest, ResponseWithoutIdReachesNoCaller) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: 5\r\n\r\nother");
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(FaultCount(ResponseFault::kNoRequestId), 1);
+}
+
 // Guards against a connection that is kept after its server has left HTTP.
 TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
   StartWith([this](TestConnection& connection) {
