Assign each response to the request that it names

Callers could get bytes of a response to another request, and 'not run' for a request that ran, in four ways that the trace of the incident led to: - An extra response was framed by the method of the running request. One to an earlier HEAD request took the first bytes of the next response as its body; before a HEAD request, the body of the extra one was read as the next response. - An earlier refusal, written again, was taken for the response to a second request with the same id on the same connection (a retry, or a caller that uses an id twice). - A response with an id that was never sent on the connection was skipped, although nothing tells how long it is. - A request with two ids may be answered with either; it is refused now.

A connection now remembers the ids and methods of the requests that it carried, and OwnerOf decides from them whose response has arrived. Extra responses are framed by the method of their own request and skipped; a response of any other origin ends the attempt and the connection.

--- a/src/connection/io/backend_connection_pool.cc
+++ b/src/connection/io/backend_connection_pool.cc
@@ -236,7 +236,7 @@
 }
 
 void BackendConnectionPool::Return(BackendConnectionPtr connection) {
-  if (connection->buffer.size() > 0) {
+  if (connection->buffer.size() > 0 || IsFull(connection->sent)) {
     // Bytes after a complete response belong to no request, and the next
     // request could take them for its response.
     Discard(std::move(connection));
--- a/src/connection/io/backend_connection_pool.h
+++ b/src/connection/io/backend_connection_pool.h
@@ -12,6 +12,7 @@
 
 #include "connection/io/backend_transport.h"
 #include "connection/io/strand.h"
+#include "connection/sent_requests.h"
 #include "connection/time_limits.h"
 #include "process/clock.h"
 #include "process/counters.h"
@@ -29,6 +30,7 @@
   /** True if the connection has been returned to the pool before. */
   bool reused = false;
   TimePoint idle_since;
+  SentRequests sent;
   /** Id of the last request that was sent; empty if it had none. */
   std::string last_request_id;
 };
--- a/src/connection/response_fault.cc
+++ b/src/connection/response_fault.cc
@@ -29,6 +29,8 @@
       return "extra_response";
     case ResponseFault::kNoRequestId:
       return "no_request_id";
+    case ResponseFault::kOtherRequestId:
+      return "other_request_id";
     case ResponseFault::kBytesAfterResponse:
       return "bytes_after_response";
     case ResponseFault::kBytesWhileIdle:
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -9,6 +9,7 @@
 #include "process/tables.h"
 #include "request/header_scan.h"
 #include "request/load_metrics.h"
+#include "request/response_owner.h"
 
 namespace mangodoor {
 namespace {
@@ -77,7 +78,16 @@
     connection_->socket->close(ignored);
 }
 
+// If a connection has carried a request with the same id, a late second
+// response to that one could not be told from the response to this one.
 bool BackendAttempt::Connect(YieldContext yield) {
+  while (OpenOrReuse(yield) && Find(connection_->sent, request_.id))
+    context_.pool.Discard(std::exchange(connection_, nullptr));
+  was_reused_ = connection_ && connection_->reused;
+  return connection_ != nullptr && !aborted_;
+}
+
+bool BackendAttempt::OpenOrReuse(YieldContext yield) {
   connection_ = context_.pool.TakeIdle(server_);
   if (!connection_) {
     connection_channel_ =
@@ -99,8 +109,7 @@
     }
     connection_channel_ = nullptr;
   }
-  was_reused_ = connection_ && connection_->reused;
-  return connection_ != nullptr && !aborted_;
+  return connection_ != nullptr;
 }
 
 // The wait for a connection, or a pause of the process, may have taken long, so
@@ -158,6 +167,7 @@
   message += "\r\n";
   message += request_.body;
   report_.bytes_sent = true;
+  Add(connection_->sent, request_.id, request_.is_head);
   return !Write(message, yield);
 }
 
@@ -189,30 +199,8 @@
 
 AttemptReport::End BackendAttempt::ReadResponseHead(YieldContext yield) {
   while (!response_) {
-    auto response = std::make_unique<ServerResponse>();
-    if (auto failed = ReadHead(*response, yield))
+    if (const auto failed = ReadNextResponse(yield))
       return *failed;
-    const unsigned status = response->header.result_int();
-    if (status == kStatusSwitchingProtocols) {
-      RecordFault(ResponseFault::kProtocolSwitched, response.get());
-      return AttemptReport::End::kBadResponse;
-    }
-    // Interim responses are not forwarded: this instance answers Expect itself.
-    if (status < kStatusOk)
-      continue;
-    const auto response_id = RequestIdOf(*response);
-    // A response without an id may be one to an earlier request.
-    if (!request_.id.empty() && !response_id) {
-      RecordFault(ResponseFault::kNoRequestId, response.get());
-      return AttemptReport::End::kBadResponse;
-    }
-    if (response_id.value_or("") == request_.id) {
-      response_ = std::move(response);
-      continue;
-    }
-    RecordFault(ResponseFault::kExtraResponse, response.get());
-    if (!SkipBody(*response, yield))
-      return AttemptReport::End::kBadResponse;
   }
   const AttemptReport::End end = ClassifyResponse();
   if (end != AttemptReport::End::kBadResponse)
@@ -223,6 +211,51 @@
   return BufferBody(*response_, yield);
 }
 
+/**
+ * Reads past an interim response or one to an earlier request, or reads the
+ * head of the response to this request.
+ */
+std::optional<AttemptReport::End> BackendAttempt::ReadNextResponse(
+    YieldContext yield) {
+  size_t size = 0;
+  if (const auto failed = ReadHead(size, yield))
+    return failed;
+  auto response = ParseHead(size, request_.is_head);
+  if (!response)
+    return AttemptReport::End::kBadResponse;
+  const unsigned status = response->header.result_int();
+  if (status == kStatusSwitchingProtocols) {
+    RecordFault(ResponseFault::kProtocolSwitched, response.get());
+    return AttemptReport::End::kBadResponse;
+  }
+  const ResponseOwner owner =
+      OwnerOf(RequestIdOf(*response), {request_.id, request_.is_head},
+              connection_->sent);
+  if (owner.is_head != request_.is_head)
+    response = ParseHead(size, owner.is_head);
+  if (!response)
+    return AttemptReport::End::kBadResponse;
+  connection_->buffer.consume(size);
+  // Interim responses are not forwarded: this instance answers Expect itself.
+  if (status < kStatusOk)
+    return std::nullopt;
+  switch (owner.kind) {
+    case ResponseOwner::Kind::kThisRequest:
+      response_ = std::move(response);
+      return std::nullopt;
+    case ResponseOwner::Kind::kEarlierRequest:
+      RecordFault(ResponseFault::kExtraResponse, response.get());
+      return SkipBody(*response, yield);
+    case ResponseOwner::Kind::kNotStated:
+      RecordFault(ResponseFault::kNoRequestId, response.get());
+      break;
+    case ResponseOwner::Kind::kOtherRequest:
+      RecordFault(ResponseFault::kOtherRequestId, response.get());
+      break;
+  }
+  return AttemptReport::End::kBadResponse;
+}
+
 /** Id of the request that `response` belongs to; unset if it has none. */
 std::optional<std::string_view> BackendAttempt::RequestIdOf(
     const ServerResponse& response) const {
@@ -235,14 +268,17 @@
 }
 
 /**
- * Reads past the body of a response. False if the end of the body is unknown,
+ * Reads past the body of a response. Fails if the end of the body is unknown,
  * is not reached, or lies beyond kMaxBufferedBody.
  */
-bool BackendAttempt::SkipBody(ServerResponse& response, YieldContext yield) {
-  if (!response.parser.content_length() && !response.parser.chunked())
-    return false;
-  return BufferBody(response, yield) == AttemptReport::End::kResponse &&
-         response.parser.is_done();
+std::optional<AttemptReport::End> BackendAttempt::SkipBody(
+    ServerResponse& response,
+    YieldContext yield) {
+  if (response.parser.need_eof() ||
+      BufferBody(response, yield) != AttemptReport::End::kResponse ||
+      !response.parser.is_done())
+    return AttemptReport::End::kBadResponse;
+  return std::nullopt;
 }
 
 /** Buffers the body until it is complete or the buffer is full. */
@@ -266,10 +302,12 @@
   return AttemptReport::End::kResponse;
 }
 
-/** Reads the head of the next response on the connection. */
-std::optional<AttemptReport::End> BackendAttempt::ReadHead(
-    ServerResponse& response,
-    YieldContext yield) {
+/**
+ * Reads until the connection's buffer begins with the complete head of a
+ * response, which has `size` bytes.
+ */
+std::optional<AttemptReport::End> BackendAttempt::ReadHead(size_t& size,
+                                                           YieldContext yield) {
   auto& buffer = connection_->buffer;
   HeaderScan scan;
   ScanHeader(scan, BytesOf(buffer), kMaxResponseHeader);
@@ -285,19 +323,30 @@
                 nullptr);
     return AttemptReport::End::kBadResponse;
   }
-  ResponseParser& parser = response.parser;
+  size = scan.size;
+  return std::nullopt;
+}
+
+/**
+ * Parses the head in the first `size` bytes of the connection's buffer. Null if
+ * it is malformed.
+ */
+std::unique_ptr<ServerResponse> BackendAttempt::ParseHead(
+    size_t size,
+    bool is_response_to_head) {
+  auto response = std::make_unique<ServerResponse>();
+  ResponseParser& parser = response->parser;
   parser.header_limit(kMaxResponseHeader);
   parser.body_limit(kNoBodyLimit);
-  parser.skip(request_.is_head);
+  parser.skip(is_response_to_head);
   boost::system::error_code error;
-  parser.put(asio::buffer(buffer.cdata(), scan.size), error);
-  buffer.consume(scan.size);
+  parser.put(asio::buffer(connection_->buffer.cdata(), size), error);
   if (error || !parser.is_header_done()) {
     RecordFault(ResponseFault::kMalformedHead, nullptr);
-    return AttemptReport::End::kBadResponse;
+    return nullptr;
   }
-  response.header = std::move(parser.get().base());
-  return std::nullopt;
+  response->header = std::move(parser.get().base());
+  return response;
 }
 
 AttemptReport::End BackendAttempt::ClassifyResponse() {
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -78,15 +78,19 @@
 
  private:
   bool Connect(YieldContext yield);
+  bool OpenOrReuse(YieldContext yield);
   std::optional<AttemptReport::End> RecheckBeforeSend();
   std::optional<ErrorKind> RecheckAuthorisation();
   bool Send(YieldContext yield);
   AttemptReport::End ReadResponseHead(YieldContext yield);
-  std::optional<AttemptReport::End> ReadHead(ServerResponse& response,
-                                             YieldContext yield);
+  std::optional<AttemptReport::End> ReadNextResponse(YieldContext yield);
+  std::optional<AttemptReport::End> ReadHead(size_t& size, YieldContext yield);
+  std::unique_ptr<ServerResponse> ParseHead(size_t size,
+                                            bool is_response_to_head);
   std::optional<std::string_view> RequestIdOf(
       const ServerResponse& response) const;
-  bool SkipBody(ServerResponse& response, YieldContext yield);
+  std::optional<AttemptReport::End> SkipBody(ServerResponse& response,
+                                             YieldContext yield);
   AttemptReport::End BufferBody(ServerResponse& response, YieldContext yield);
   AttemptReport::End ClassifyResponse();
   std::optional<ResponseFault> FaultOfResponse() const;
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -197,6 +197,10 @@
       http_profile.key_field.empty() ? 0 : header.count(http_profile.key_field);
   if (header.count(field::authorization) + other_keys > 1)
     return ErrorKind::kMalformedRequest;
+  // Servers repeat one id, and it may be either.
+  if (!http_profile.request_id.empty() &&
+      header.count(http_profile.request_id) > 1)
+    return ErrorKind::kMalformedRequest;
   const size_t time_limits = header.count(http_profile.time_limit);
   if (time_limits > 1 ||
       (time_limits == 1 &&
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -309,6 +309,84 @@
   EXPECT_EQ(FaultCount(ResponseFault::kNoRequestId), 1);
 }
 
+// Guards against a response of which a skipped one has taken the first bytes,
+// because the skipped one belongs to a HEAD request and has no body.
+TEST_F(SigningServerTest, ExtraResponseToHeadHasNoBody) {
+  const std::string head_response =
+      "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: one\r\nContent-Length: 5\r\n"
+      "\r\n";
+  StartWith([&head_response](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(head_response);
+    connection.ReadMessage();
+    connection.Write(head_response + SignedResponse("two", "second"));
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write("HEAD /open HTTP/1.1\r\nHost: a\r\nX-Id: one\r\n\r\n");
+  EXPECT_THAT(caller.ReadHead(), StartsWith("HTTP/1.1 200"));
+  caller.Write(Post("two"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("second"));
+}
+
+// Guards against the body of a skipped response that is read as the next
+// response, because the running request is a HEAD request.
+TEST_F(SigningServerTest, ExtraResponseBeforeHeadHasBody) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(SignedResponse("one", "first"));
+    connection.ReadMessage();
+    connection.Write(SignedResponse("one", SignedResponse("two", "forged")) +
+                     SignedResponse("two", "second!"));
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Request("one", "/open"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+  caller.Write("HEAD /open HTTP/1.1\r\nHost: a\r\nX-Id: two\r\n\r\n");
+  EXPECT_THAT(caller.ReadHead(), HasSubstr("Content-Length: 7"));
+}
+
+// Guards against an earlier refusal that is taken for the response to a second
+// request with the same id.
+TEST_F(SigningServerTest, SameIdUsesAnotherConnection) {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nX-Id: one\r\nX-Not-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  StartWith([this, &refusal](TestConnection& connection) {
+    connection.ReadMessage();
+    if (++received_ == 1) {
+      connection.Write(refusal);
+      if (!connection.ReadMessage().empty())
+        connection.Write(refusal + SignedResponse("one", "run"));
+    } else {
+      connection.Write(SignedResponse("one", "run"));
+    }
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), HasSubstr("Outcome: not-run"));
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("run"));
+  EXPECT_EQ(server_->connections(), 2);
+}
+
+// Guards against a response whose end is unknown, since nothing tells whether
+// its request was a HEAD request.
+TEST_F(SigningServerTest, ResponseToUnknownRequestClosesConnection) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(SignedResponse("other", "alien") +
+                     SignedResponse("one", "first"));
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(FaultCount(ResponseFault::kOtherRequestId), 1);
+}
+
 // Guards against a connection that is kept after its server has left HTTP.
 TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
   StartWith([this](TestConnection& connection) {
