Refuse a response with a request id as the response to a probe

Probes share the connections of requests. A late second response to a request was taken for the response to a probe; the response to the probe, which has no id, then stood in front of the next request. Its 503 says that the server did not run it, so a caller could be told 'not run' for a request that ran.

A probe has no request id, and neither has its response. One with an id now ends the probe without a result and closes the connection.

Evidence: ExtraResponseIsNotTakenForTheProbe got the status of the extra response as the server's health on the code before, and kept the connection.

--- a/src/process/servers/io/load_prober.cc
+++ b/src/process/servers/io/load_prober.cc
@@ -38,12 +38,14 @@
  public:
   LoadProbe(asio::io_context& io,
             BackendConnectionPool& pool,
+            Counters& counters,
             const HttpProfile& http_profile,
             ChosenServer server,
             LoadProber::Done done)
       : strand_(asio::make_strand(io)),
         timer_(strand_),
         pool_(pool),
+        counters_(counters),
         http_profile_(http_profile),
         server_(std::move(server)),
         done_(std::move(done)) {}
@@ -114,6 +116,11 @@
 
   void HandleResponse() {
     const auto& response = parser_.get();
+    if (HasRequestId()) {
+      ++counters_.response_faults[static_cast<size_t>(
+          ResponseFault::kExtraResponse)];
+      return End(false);
+    }
     result_.answered = true;
     result_.healthy = response.result() == http::status::ok;
     result_.server_load =
@@ -131,6 +138,12 @@
     End(response.keep_alive());
   }
 
+  /** True for a response to a request: a probe has no id. */
+  bool HasRequestId() const {
+    return !http_profile_.request_id.empty() &&
+           !parser_.get()[http_profile_.request_id].empty();
+  }
+
   void HandleTimeout() {
     if (ended_)
       return;
@@ -154,6 +167,7 @@
   Strand strand_;
   StrandTimer timer_;
   BackendConnectionPool& pool_;
+  Counters& counters_;
   const HttpProfile& http_profile_;
   const ChosenServer server_;
   const LoadProber::Done done_;
@@ -180,7 +194,8 @@
 
 void LoadProber::Probe(const ChosenServer& server) {
   ++counters_.probes;
-  std::make_shared<LoadProbe>(io_, pool_, http_profile_, server, done_)
+  std::make_shared<LoadProbe>(io_, pool_, counters_, http_profile_, server,
+                              done_)
       ->Start();
 }
 
