Bound the bytes that frame a body

A server that wrote a chunk extension or a trailer without end grew the process until the deadline of the request: the parser needs the line as a whole, so the buffer of the connection grew with it. A machine has as little as 160 MB.

DecodeBody now fails once it can decode nothing and 16 KiB wait, in both directions and for skipped responses too; the connection is closed and the fault counted as malformed_body.

--- a/src/request/io/body_reader.h
+++ b/src/request/io/body_reader.h
@@ -19,6 +19,12 @@
 /** Maximum number of bytes of a body that are buffered, in each direction. */
 constexpr size_t kMaxBufferedBody = 64 * 1024;
 
+/**
+ * Maximum size of what frames a body, in bytes: the line of a chunk's size with
+ * its extensions, or the trailer. The parser needs each of them as a whole.
+ */
+constexpr size_t kMaxBodyFraming = 16 * 1024;
+
 /**
  * Bodies are streamed, so their size has no limit. Beast 1.74 treats
  * boost::none as a limit of zero.
@@ -33,7 +39,8 @@
 /**
  * Decodes the part of a body that is in `buffer` and appends it to `out`, up to
  * `max` bytes in `out`. On return without an error, the body is complete, `out`
- * is full, or more bytes must be read into `buffer`.
+ * is full, or more bytes must be read into `buffer`. Fails if the buffer cannot
+ * be decoded and has kMaxBodyFraming bytes or more.
  */
 template <typename Parser>
 boost::system::error_code DecodeBody(Parser& parser,
@@ -58,8 +65,11 @@
     if (error == http::error::need_buffer)
       error = {};
     if (error == http::error::need_more ||
-        (!error && used == 0 && produced == 0))
+        (!error && used == 0 && produced == 0)) {
+      if (buffer.size() >= kMaxBodyFraming)
+        return http::error::buffer_overflow;
       return {};
+    }
     if (error)
       return error;
   }
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -213,28 +213,12 @@
            "\r\nContent-Length: 0\r\n\r\n";
   }
 
-  /** Replaces all servers by one that runs `script`. */
-  void StartAgainWith(FakeServer::Script script) {
-    auto server = std::make_unique<FakeServer>(std::move(script));
-    if (!listener_) {
-      Start({server->endpoint()});
-    } else {
-      servers_ = {server->endpoint()};
-      Apply(MakeTestVersion(++version_number_));
-    }
-    earlier_servers_.push_back(std::move(server));
-  }
-
   static std::string SignedResponse(const std::string& id,
                                     const std::string& body) {
     return "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: " + id +
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
            body;
   }
-
- private:
-  std::vector<std::unique_ptr<FakeServer>> earlier_servers_;
-  uint64_t version_number_ = 1;
 };
 
 // Guards against taking a late second response to a request for the response to
--- a/tests/connection/data_path_fixture.cc
+++ b/tests/connection/data_path_fixture.cc
@@ -46,6 +46,15 @@
   Start({server_->endpoint()});
 }
 
+void DataPathTest::StartAgainWith(FakeServer::Script script) {
+  if (!listener_)
+    return StartWith(std::move(script));
+  replaced_.push_back(std::move(server_));
+  server_ = std::make_unique<FakeServer>(std::move(script));
+  servers_ = {server_->endpoint()};
+  Apply(MakeTestVersion(++version_number_));
+}
+
 VersionPtr DataPathTest::MakeTestVersion(uint64_t number,
                                          bool key_withdrawn) const {
   constexpr int kPlenty = 1000;
--- a/tests/connection/data_path_fixture.h
+++ b/tests/connection/data_path_fixture.h
@@ -42,6 +42,8 @@
   /** Starts the data path with `servers` as its backend servers. */
   void Start(const std::vector<Endpoint>& servers);
   void StartWith(FakeServer::Script script);
+  /** Starts with a server that runs `script`, or replaces all servers by it. */
+  void StartAgainWith(FakeServer::Script script);
 
   /** A version with this `number`, without `kKey` if `key_withdrawn`. */
   VersionPtr MakeTestVersion(uint64_t number, bool key_withdrawn = false) const;
@@ -67,6 +69,9 @@
   BackendConnectionLimits pool_limits_;
   std::chrono::milliseconds route_timeout_{3000};
   std::unique_ptr<FakeServer> server_;
+  /** Servers that StartAgainWith has replaced. */
+  std::vector<std::unique_ptr<FakeServer>> replaced_;
+  uint64_t version_number_ = 1;
   std::vector<Endpoint> servers_;
   SystemClock clock_;
   Tables tables_;
--- a/tests/connection/fake_server.cc
+++ b/tests/connection/fake_server.cc
@@ -36,9 +36,10 @@
 
 TestConnection::~TestConnection() = default;
 
-void TestConnection::Write(const std::string& data) {
-  boost::system::error_code ignored;
-  asio::write(socket_, asio::buffer(data), ignored);
+bool TestConnection::Write(const std::string& data) {
+  boost::system::error_code error;
+  asio::write(socket_, asio::buffer(data), error);
+  return !error;
 }
 
 bool TestConnection::ReadSome() {
--- a/tests/connection/fake_server.h
+++ b/tests/connection/fake_server.h
@@ -24,7 +24,8 @@
   explicit TestConnection(const Endpoint& endpoint);
   ~TestConnection();
 
-  void Write(const std::string& data);
+  /** False if the connection has failed. */
+  bool Write(const std::string& data);
   /**
    * Reads a head with its empty line. Returns an empty string if the connection
    * ends or the time limit passes first.
