Bound the responses in front of the awaited one

A server that wrote interim or extra responses without end kept a request, and a connection, busy until the deadline. An attempt now ends after 32 of them, so the request can still be tried elsewhere; the fault is counted as too_many_responses.

--- a/src/connection/response_fault.cc
+++ b/src/connection/response_fault.cc
@@ -41,6 +41,8 @@
       return "head_too_large";
     case ResponseFault::kProtocolSwitched:
       return "protocol_switched";
+    case ResponseFault::kTooManyResponses:
+      return "too_many_responses";
     case ResponseFault::kEncoded:
       return "encoded";
     case ResponseFault::kNotSigned:
--- a/src/connection/response_fault.h
+++ b/src/connection/response_fault.h
@@ -24,6 +24,8 @@
   kMalformedHead,
   kHeadTooLarge,
   kProtocolSwitched,
+  /** Too many interim and extra responses in front of the awaited one. */
+  kTooManyResponses,
   /** A content encoding that the caller did not ask for. */
   kEncoded,
   /** A successful response without the server's signature. */
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -18,6 +18,9 @@
 namespace http = boost::beast::http;
 
 constexpr size_t kReadSize = 16 * 1024;
+// More than any sound server sends, so that one that never stops is noticed
+// long before the deadline.
+constexpr int kMaxOtherResponses = 32;
 constexpr unsigned kStatusSwitchingProtocols = 101;
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kSuccessClass = 2;
@@ -198,7 +201,11 @@
 }
 
 AttemptReport::End BackendAttempt::ReadResponseHead(YieldContext yield) {
-  while (!response_) {
+  for (int others = 0; !response_; ++others) {
+    if (others > kMaxOtherResponses) {
+      RecordFault(ResponseFault::kTooManyResponses);
+      return AttemptReport::End::kBadResponse;
+    }
     if (const auto failed = ReadNextResponse(yield))
       return *failed;
   }
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -371,6 +371,30 @@
   EXPECT_EQ(FaultCount(ResponseFault::kOtherRequestId), 1);
 }
 
+// Guards against a request that waits until its deadline while its server
+// writes interim or extra responses without end.
+TEST_F(SigningServerTest, ResponsesWithoutEndAreCutOff) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nX-Id: two\r\n\r\n";
+  for (const std::string& endless : {interim, SignedResponse("one", "again")}) {
+    SCOPED_TRACE(endless);
+    StartAgainWith([endless](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(SignedResponse("one", "first"));
+      connection.ReadMessage();
+      while (connection.Write(endless)) {
+      }
+    });
+    TestConnection caller = Connect();
+    caller.Write(Post("one"));
+    EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+    caller.Write(Post("two"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(StartsWith("HTTP/1.1 502"),
+                      HasSubstr("Mangodoor-Outcome: unknown")));
+  }
+  EXPECT_EQ(FaultCount(ResponseFault::kTooManyResponses), 2);
+}
+
 // Guards against a connection that is kept after its server has left HTTP.
 TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
   StartWith([this](TestConnection& connection) {
