Refuse responses with a transfer coding other than chunked

Transfer-Encoding is not forwarded, since it concerns one connection. A response with 'gzip' or 'gzip, chunked' therefore reached the caller as compressed bytes that nothing declared as such: not the whole answer. The same field in a response of HTTP/1.0 is ambiguous. Such responses count as broken now (transfer_coding).

--- a/src/connection/response_fault.cc
+++ b/src/connection/response_fault.cc
@@ -43,6 +43,8 @@
       return "protocol_switched";
     case ResponseFault::kTooManyResponses:
       return "too_many_responses";
+    case ResponseFault::kTransferCoding:
+      return "transfer_coding";
     case ResponseFault::kEncoded:
       return "encoded";
     case ResponseFault::kNotSigned:
--- a/src/connection/response_fault.h
+++ b/src/connection/response_fault.h
@@ -26,6 +26,8 @@
   kProtocolSwitched,
   /** Too many interim and extra responses in front of the awaited one. */
   kTooManyResponses,
+  /** A transfer coding other than chunked, which the caller cannot undo. */
+  kTransferCoding,
   /** A content encoding that the caller did not ask for. */
   kEncoded,
   /** A successful response without the server's signature. */
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -383,6 +383,8 @@
 std::optional<ResponseFault> BackendAttempt::FaultOfResponse() const {
   const HttpProfile& http_profile = context_.http_profile;
   const ResponseHeader& header = response_->header;
+  if (HasUnsupportedTransferCoding(header))
+    return ResponseFault::kTransferCoding;
   if (http_profile.rejects_encoded_responses &&
       header.count(http::field::content_encoding) > 0)
     return ResponseFault::kEncoded;
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -222,6 +222,14 @@
                                         : View(header[http_profile.key_field]);
 }
 
+bool HasUnsupportedTransferCoding(const ResponseHeader& header) {
+  const size_t count = header.count(field::transfer_encoding);
+  if (count == 0)
+    return false;
+  return count > 1 || header.version() == kHttp10 ||
+         !beast::iequals(header[field::transfer_encoding], "chunked");
+}
+
 bool ExpectsContinue(const RequestHeader& header) {
   return beast::iequals(header[field::expect], "100-continue");
 }
--- a/src/request/io/message_head.h
+++ b/src/request/io/message_head.h
@@ -34,6 +34,12 @@
 std::string_view PresentedKey(const RequestHeader& header,
                               const HttpProfile& http_profile);
 
+/**
+ * True if the body has a transfer coding other than a single chunked, or has
+ * one although the response is of HTTP/1.0.
+ */
+bool HasUnsupportedTransferCoding(const ResponseHeader& header);
+
 bool ExpectsContinue(const RequestHeader& header);
 
 /**
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -395,6 +395,25 @@
   EXPECT_EQ(FaultCount(ResponseFault::kTooManyResponses), 2);
 }
 
+// Guards against a compressed body that reaches a caller without the field that
+// says so.
+TEST_F(BrokenServerTest, TransferCodingsAreRefused) {
+  for (const char* head :
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nzip",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+        "3\r\nzip\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nzip\r\n0\r\n\r\n"}) {
+    SCOPED_TRACE(head);
+    StartAgainWith([head](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(head);
+    });
+    EXPECT_THAT(Exchange(kClosingPost), StartsWith("HTTP/1.1 502"));
+  }
+  EXPECT_EQ(FaultCount(ResponseFault::kTransferCoding), 3);
+}
+
 // Guards against a connection that is kept after its server has left HTTP.
 TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
   StartWith([this](TestConnection& connection) {
