Refuse responses that repeat a deciding field

The generator of server bytes found it: a head that breaks off within a field runs into the head of the next response, and the caller got one response with two request ids and two signatures. Which of them counts depends on the reader.

A response that repeats the request id, the signature or the statement that the request did not run is broken now, as a request with two ids is (repeated_field).

Evidence: JoinedHeadsAreRefused got the joined head with 200 before.

--- a/src/connection/response_fault.cc
+++ b/src/connection/response_fault.cc
@@ -29,6 +29,8 @@
       return "extra_response";
     case ResponseFault::kNoRequestId:
       return "no_request_id";
+    case ResponseFault::kRepeatedField:
+      return "repeated_field";
     case ResponseFault::kOtherRequestId:
       return "other_request_id";
     case ResponseFault::kBytesAfterResponse:
--- a/src/connection/response_fault.h
+++ b/src/connection/response_fault.h
@@ -15,6 +15,8 @@
   kExtraResponse,
   /** A response without the request id that the interface requires. */
   kNoRequestId,
+  /** A field that decides about the response occurs more than once. */
+  kRepeatedField,
   /** A response to a request that was not sent on the connection. */
   kOtherRequestId,
   /** Bytes arrived behind a complete response. */
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -235,6 +235,11 @@
     RecordFault(ResponseFault::kProtocolSwitched, response.get());
     return AttemptReport::End::kBadResponse;
   }
+  // The head of a response that breaks off in a field can run into the next.
+  if (RepeatsDecidingField(response->header, context_.http_profile)) {
+    RecordFault(ResponseFault::kRepeatedField, response.get());
+    return AttemptReport::End::kBadResponse;
+  }
   const ResponseOwner owner =
       OwnerOf(RequestIdOf(*response), {request_.id, request_.is_head},
               connection_->sent);
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -222,6 +222,15 @@
                                         : View(header[http_profile.key_field]);
 }
 
+bool RepeatsDecidingField(const ResponseHeader& header,
+                          const HttpProfile& http_profile) {
+  const auto repeats = [&header](const std::string& name) {
+    return !name.empty() && header.count(name) > 1;
+  };
+  return repeats(http_profile.request_id) || repeats(http_profile.signature) ||
+         repeats(http_profile.not_run);
+}
+
 bool HasUnsupportedTransferCoding(const ResponseHeader& header) {
   const size_t count = header.count(field::transfer_encoding);
   if (count == 0)
--- a/src/request/io/message_head.h
+++ b/src/request/io/message_head.h
@@ -34,6 +34,13 @@
 std::string_view PresentedKey(const RequestHeader& header,
                               const HttpProfile& http_profile);
 
+/**
+ * True if the request id, the signature or the statement that the request did
+ * not run occurs more than once.
+ */
+bool RepeatsDecidingField(const ResponseHeader& header,
+                          const HttpProfile& http_profile);
+
 /**
  * True if the body has a transfer coding other than a single chunked, or has
  * one although the response is of HTTP/1.0.
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -414,6 +414,20 @@
   EXPECT_EQ(FaultCount(ResponseFault::kTransferCoding), 3);
 }
 
+// Guards against a response whose head is that of two responses: the first
+// breaks off within a field.
+TEST_F(SigningServerTest, JoinedHeadsAreRefused) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write("HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signed: 1" +
+                     SignedResponse("one", "first"));
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(FaultCount(ResponseFault::kRepeatedField), 1);
+}
+
 // Guards against a connection that is kept after its server has left HTTP.
 TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
   StartWith([this](TestConnection& connection) {
