--- a/tests/operators/documentation_test.cc
+++ b/tests/operators/documentation_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <sstream>
 
+#include "connection/response_fault.h"
 #include "operators/repository.h"
 #include "process/counters.h"
 #include "process/io/settings.h"
@@ -100,6 +101,25 @@
             names_in(text, R"(# HELP (mangodoor_\w+) )"));
 }
 
+// Guards against a fault in logs and metrics that the operators' page does not
+// explain.
+TEST(DocumentationTest, ResponseFaultsMatchThePage) {
+  std::vector<std::string> expected;
+  for (size_t i = 0; i < kResponseFaultCount; ++i)
+    expected.emplace_back(Name(static_cast<ResponseFault>(i)));
+  const std::string page = RepositoryFile("docs/operators.md");
+  const size_t table = page.find("| fault | what the backend server sent |");
+  std::istringstream rows(page.substr(std::min(table, page.size())));
+  const std::regex row(R"(^\| `(\w+)` \| .*)");
+  std::vector<std::string> listed;
+  std::smatch match;
+  for (std::string line; std::getline(rows, line) && !line.empty();) {
+    if (std::regex_match(line, match, row))
+      listed.push_back(match[1]);
+  }
+  EXPECT_THAT(listed, ElementsAreArray(expected));
+}
+
 // Guards against a histogram that does not follow the Prometheus format: its
 // buckets are cumulative, and the last one counts all observations.
 TEST(MetricsTest, DurationsAreCumulativeBuckets) {
