Bound the bytes that a connection to a server holds

A response without end to a probe grew the buffer of its connection until the probe's time limit: the reader of the library uses the buffer up to its maximum, which was not set. It is 96 KiB now, more than the largest head and one read.

Evidence: EndlessFramingIsCutOff saw all 16 MiB accepted before.

--- a/src/connection/io/backend_connection_pool.h
+++ b/src/connection/io/backend_connection_pool.h
@@ -21,12 +21,18 @@
 
 namespace mangodoor {
 
+/**
+ * Maximum number of received bytes that a connection holds: more than the
+ * largest head of a response and one read.
+ */
+constexpr size_t kMaxUnparsedBytes = 96 * 1024;
+
 /** An open connection to a backend server. One attempt uses it at a time. */
 struct BackendConnection {
   Endpoint endpoint;
   std::shared_ptr<BackendSocket> socket;
   /** Bytes received and not yet parsed. */
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   /** True if the connection has been returned to the pool before. */
   bool reused = false;
   TimePoint idle_since;
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -192,6 +192,8 @@
 boost::system::error_code BackendAttempt::ReadSome(YieldContext yield) {
   boost::system::error_code error;
   auto& buffer = connection_->buffer;
+  if (buffer.max_size() - buffer.size() < kReadSize)
+    return http::error::buffer_overflow;
   const size_t size = connection_->socket->async_read_some(
       buffer.prepare(kReadSize), yield[error]);
   buffer.commit(size);
--- a/tests/connection/load_prober_test.cc
+++ b/tests/connection/load_prober_test.cc
@@ -1,11 +1,11 @@
 #include "process/servers/io/load_prober.h"
 
 #include <gtest/gtest.h>
+#include <atomic>
 #include <future>
+#include <memory>
 
-#include "connection/fake_server.h"
-#include "process/system_clock.h"
-#include "process/worker_pool.h"
+#include "connection/data_path_fixture.h"
 
 namespace mangodoor {
 namespace {
@@ -60,6 +60,24 @@
       2);
 }
 
+// Guards against memory that grows with a response without end to a probe.
+TEST_F(LoadProberTest, EndlessFramingIsCutOff) {
+  constexpr size_t kPiece = 64 * 1024;
+  constexpr size_t kEndlessBytes = 16 * 1024 * 1024;
+  const auto written = std::make_shared<std::atomic<size_t>>(kEndlessBytes);
+  FakeServer server([written](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=");
+    size_t sent = 0;
+    while (sent < kEndlessBytes && connection.Write(std::string(kPiece, 'x')))
+      sent += kPiece;
+    *written = sent;
+  });
+  EXPECT_FALSE(Probe(server).answered);
+  EXPECT_TRUE(Eventually([&written] { return *written < kEndlessBytes; }));
+}
+
 // Guards against a probe that fails, or that closes its connection, although
 // the server responds as it should.
 TEST_F(LoadProberTest, HealthyServerKeepsItsConnection) {
