--- a/src/request/io/body_upload.cc
+++ b/src/request/io/body_upload.cc
@@ -25,10 +25,6 @@
 }
 
 std::optional<ErrorKind> BodyUpload::ReadMore(YieldContext yield) {
-  // The parser consumes every complete part, so a full buffer contains an
-  // unterminated chunk header or trailer.
-  if (stream_.buffer().size() >= kMaxBufferedBody)
-    return ErrorKind::kMalformedRequest;
   stream_.LimitReads(context_.clock.Now() + context_.limits.body_progress);
   const boost::system::error_code error = stream_.ReadSome(yield);
   const bool too_slow = stream_.read_limit_passed();
