Log which requests shared a connection

The trace of the incident had to guess which earlier request used the caller's connection, and whether the server's connection had carried requests before. The field caller has the port now, and an attempt says how many requests its connection had carried.

--- a/src/connection/io/caller_session.cc
+++ b/src/connection/io/caller_session.cc
@@ -48,8 +48,10 @@
   void Serve(YieldContext yield) {
     boost::system::error_code error;
     const auto remote = stream_->socket().remote_endpoint(error);
-    if (!error)
+    if (!error) {
       caller_.address = remote.address().to_string();
+      caller_.port = remote.port();
+    }
     while (!error && ServeNextRequest(yield)) {
     }
     Linger(yield);
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -141,6 +141,7 @@
   trace.waited = hedge ? Duration::zero() : server_wait_;
   trace.took = attempt.latency();
   trace.end = report.end;
+  trace.earlier_requests = attempt.earlier_requests();
   trace.status = attempt.status();
   traces_.push_back(std::move(trace));
 }
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -170,6 +170,7 @@
   message += "\r\n";
   message += request_.body;
   report_.bytes_sent = true;
+  earlier_requests_ = connection_->sent.requests.size();
   Add(connection_->sent, request_.id, request_.is_head);
   return !Write(message, yield);
 }
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -65,6 +65,8 @@
   Duration latency() const { return result_.latency; }
   /** Status of the response to the request; 0 if its head was not read. */
   int status() const { return response_ ? response_->status() : 0; }
+  /** Requests that the connection had carried before this one. */
+  size_t earlier_requests() const { return earlier_requests_; }
   bool connection_was_reused() const { return was_reused_; }
   bool finished() const { return finished_; }
   bool aborted() const { return aborted_.has_value(); }
@@ -114,6 +116,7 @@
   /** When the server was reserved. The latency is measured from here. */
   TimePoint started_at_;
   bool was_reused_ = false;
+  size_t earlier_requests_ = 0;
   bool finished_ = false;
 };
 
--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -63,7 +63,7 @@
   if (!context_.request_log)
     return;
   trace_.id = request_.id;
-  trace_.caller = caller_.address;
+  trace_.caller = caller_.address + ":" + std::to_string(caller_.port);
   trace_.host = request_.host;
   trace_.service = request_.service;
   if (const Route* route = request_.authorisation.route)
--- a/src/request/io/request_handler.h
+++ b/src/request/io/request_handler.h
@@ -21,6 +21,8 @@
 /** What a connection keeps between its requests. */
 struct CallerState {
   std::string address;
+  /** Port of the caller; it tells the caller's connections apart. */
+  uint16_t port = 0;
   /** The last key that was presented, and its digest. */
   std::string key;
   std::string key_digest;
--- a/src/request/request_trace.cc
+++ b/src/request/request_trace.cc
@@ -20,6 +20,9 @@
   out += text.data();
   if (attempt.status != 0)
     out += " " + std::to_string(attempt.status);
+  if (attempt.earlier_requests > 0)
+    out += ", after " + std::to_string(attempt.earlier_requests) +
+           " requests on its connection";
   if (!attempt.placement.known)
     return;
   std::snprintf(text.data(), text.size(), ", slowness %.2f%s known for %.1f ms",
--- a/tests/connection/request_lines_test.cc
+++ b/tests/connection/request_lines_test.cc
@@ -1,4 +1,5 @@
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "connection/data_path_fixture.h"
 #include "process/io/log.h"
@@ -83,10 +84,36 @@
   EXPECT_THAT(std::string(line["response_faults"]),
               AllOf(HasSubstr("extra_response 500 of r-0"),
                     HasSubstr("bytes_after_response 200 of r-1")));
+  EXPECT_THAT(std::string(line["attempts"]),
+              HasSubstr("after 1 requests on its connection"));
   EXPECT_EQ(FaultCount(ResponseFault::kExtraResponse), 1);
   EXPECT_EQ(FaultCount(ResponseFault::kBytesAfterResponse), 1);
 }
 
+// Guards against lines that do not tell which requests shared a connection of a
+// caller.
+TEST_F(RequestLinesTest, LinesOfOneConnectionHaveTheSameCaller) {
+  StartWith(RespondToAll("ok"));
+  http_profile_.request_id = "";
+  testing::internal::CaptureStdout();
+  {
+    TestConnection caller = Connect();
+    for (int i = 0; i < 2; ++i) {
+      caller.Write(kGet);
+      caller.ReadMessage();
+    }
+  }
+  Exchange(kRequest);
+  listener_.reset();
+  std::istringstream text(testing::internal::GetCapturedStdout());
+  std::vector<std::string> callers;
+  for (std::string line; std::getline(text, line);)
+    callers.push_back(nlohmann::json::parse(line)["caller"]);
+  ASSERT_EQ(callers.size(), 3);
+  EXPECT_EQ(callers[0], callers[1]);
+  EXPECT_NE(callers[0], callers[2]);
+}
+
 // Guards against a faulty server that fills the log.
 TEST_F(RequestLinesTest, FaultsOfOneRequestAreBounded) {
   const std::string id(1000, 'r');
