Read JSON of outside systems with a limit of nesting

An entry of another writer with a deeply nested Address among those of the servers ended every instance that read the list, again after each restart.

Cause: nlohmann-json prints, copies and compares a value by recursion, and the description of the fault printed the whole value before it was shortened. Any field that had a wrong type was affected, of servers' entries as of the configuration; a nested value in an unknown field was accepted.

ParseUntrustedJson refuses a text with more than 32 levels before the parser builds a value, and DescribeUntrustedJson never prints the contents of an object or a list.

--- a/src/process/load/io/load_caller.cc
+++ b/src/process/load/io/load_caller.cc
@@ -8,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "version/io/json_text.h"
+
 namespace mangodoor {
 
 namespace asio = boost::asio;
@@ -31,12 +33,14 @@
 
 std::optional<Addresses> DecodeAddresses(const std::string& text) {
   try {
-    const nlohmann::json json = nlohmann::json::parse(text);
+    const std::optional<nlohmann::json> json = ParseUntrustedJson(text);
+    if (!json)
+      return std::nullopt;
     Addresses answer;
-    for (const nlohmann::json& address : json.at("addresses"))
+    for (const nlohmann::json& address : json->at("addresses"))
       answer.addresses.push_back(ParseEndpoint(address.get<std::string>()));
     answer.time_to_live =
-        std::chrono::milliseconds(json.at("keep_ms").get<int64_t>());
+        std::chrono::milliseconds(json->at("keep_ms").get<int64_t>());
     return answer;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/process/membership/io/instance_list_source.cc
+++ b/src/process/membership/io/instance_list_source.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "process/io/http_get.h"
+#include "version/io/json_text.h"
 
 namespace mangodoor {
 namespace {
@@ -55,7 +56,10 @@
 
 InstanceList DecodeInstanceList(const std::string& text) {
   try {
-    const Json json = Json::parse(text);
+    const std::optional<Json> parsed = ParseUntrustedJson(text);
+    if (!parsed)
+      throw std::runtime_error("not JSON, or nested too deeply");
+    const Json& json = *parsed;
     InstanceList list;
     if (!json.at("revision").is_number_unsigned())
       throw std::runtime_error("revision is not an unsigned number");
--- a/src/process/servers/io/health_prober.cc
+++ b/src/process/servers/io/health_prober.cc
@@ -5,9 +5,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "version/io/json_text.h"
+
 namespace mangodoor {
 namespace {
 
@@ -48,14 +49,14 @@
 
 ProbeResult ParseHealth(const std::string& body) {
   ProbeResult result;
-  const auto json = nlohmann::json::parse(body, nullptr, false);
-  if (!json.is_object())
+  const auto json = ParseUntrustedJson(body);
+  if (!json || !json->is_object())
     return result;
-  const auto state = json.find("state");
-  if (state != json.end() && state->is_string())
+  const auto state = json->find("state");
+  if (state != json->end() && state->is_string())
     result.state = StateFromName(state->get<std::string>());
-  const auto in_flight = json.find("in_flight");
-  if (in_flight != json.end() && in_flight->is_number_integer())
+  const auto in_flight = json->find("in_flight");
+  if (in_flight != json->end() && in_flight->is_number_integer())
     result.in_flight = in_flight->get<int>();
   return result;
 }
--- a/src/version/io/json_text.cc
+++ b/src/version/io/json_text.cc
@@ -115,6 +115,30 @@
          std::to_string(end - line_start + 1);
 }
 
+/**
+ * True if objects and lists are nested at most `max_depth` levels deep. Looks
+ * at brackets only; whether the text is valid JSON is not checked.
+ */
+bool IsNestedAtMost(const std::string& text, size_t max_depth) {
+  size_t depth = 0;
+  bool in_string = false;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (c == '"') {
+      in_string = !in_string;
+    } else if (in_string) {
+      // Skips the character that a backslash escapes.
+      i += c == '\\' ? 1 : 0;
+    } else if (c == '[' || c == '{') {
+      if (++depth > max_depth)
+        return false;
+    } else if ((c == ']' || c == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 std::optional<Json> ParseJsonText(const std::string& text,
@@ -135,6 +159,25 @@
   return std::nullopt;
 }
 
+// The nesting is checked before the parser builds a value, because a value is
+// also large: a text of brackets takes tens of times its own size.
+std::optional<Json> ParseUntrustedJson(const std::string& text) {
+  if (!IsNestedAtMost(text, kMaxUntrustedDepth))
+    return std::nullopt;
+  Json json = Json::parse(text, nullptr, false);
+  if (json.is_discarded())
+    return std::nullopt;
+  return json;
+}
+
+std::string DescribeUntrustedJson(const Json& json) {
+  if (json.is_object())
+    return "an object";
+  if (json.is_array())
+    return "a list";
+  return Quoted(json.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
 std::string EscapePointerToken(const std::string& name) {
   std::string token;
   for (const char c : name.substr(0, kMaxPointerTokenLength)) {
--- a/src/version/io/json_text.h
+++ b/src/version/io/json_text.h
@@ -18,6 +18,25 @@
 std::optional<nlohmann::json> ParseJsonText(const std::string& text,
                                             std::vector<Fault>& faults);
 
+/**
+ * Deepest nesting of JSON that an outside system, such as a store or a server,
+ * may send. nlohmann-json copies, compares and prints values by recursion, so
+ * deeper ones could overflow the stack.
+ */
+constexpr size_t kMaxUntrustedDepth = 32;
+
+/**
+ * Parses JSON from an outside system. No value if the text is not valid JSON or
+ * is nested more deeply than kMaxUntrustedDepth. Never throws.
+ */
+std::optional<nlohmann::json> ParseUntrustedJson(const std::string& text);
+
+/**
+ * Describes a value for a fault, without its contents if it is an object or a
+ * list, and shortened if it is a long text.
+ */
+std::string DescribeUntrustedJson(const nlohmann::json& json);
+
 /**
  * Converts a field name to a reference token of a JSON pointer: escapes '~' and
  * '/', replaces characters that are not printable, and shortens long names.
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -98,6 +98,129 @@
   }
 }
 
+/** A JSON list that contains `depth` - 1 lists, one in another. */
+std::string NestedLists(size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string NestedObjects(size_t depth) {
+  std::string text;
+  for (size_t i = 0; i < depth; ++i)
+    text += R"({"a":)";
+  return text + "0" + std::string(depth, '}');
+}
+
+std::string ReplaceOnce(std::string text,
+                        const std::string& from,
+                        const std::string& to) {
+  const size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return at == std::string::npos ? text : text.replace(at, from.size(), to);
+}
+
+/** Valid JSON values that no field of an entry may have. */
+std::vector<std::string> OddValues() {
+  // Recursion over this many levels would overflow the stack.
+  constexpr size_t kDeep = 200000;
+  return {NestedLists(kDeep),
+          NestedObjects(kDeep),
+          std::string(1000000, '['),
+          "\"" + std::string(1000000, 'x') + "\"",
+          "1e400",
+          "1e308",
+          "-1e308",
+          "18446744073709551616",
+          "99999999999999999999",
+          "\"\xc3\x28\"",
+          "[]",
+          "{}",
+          "true"};
+}
+
+// Guards against entries of another writer that end the process, that are used,
+// or whose faults are as long as the entry.
+TEST(ServerCodecTest, RefusesOddValuesInEveryField) {
+  const std::vector<std::string> fields = {
+      R"("10.128.0.9:8080")",
+      R"({"Service":"huvo11a","Version":"v1","Zone":"muscat-a","Slots":3})",
+      R"({"State":"ready","Sequence":4,"ColdRemainingMs":1500})",
+      R"("huvo11a")",
+      R"("muscat-a")",
+      R"("ready")",
+      "3}",
+      "1776048571020"};
+  constexpr size_t kMaxFaultsLength = 1000;
+  for (const std::string& field : fields) {
+    for (const std::string& value : OddValues()) {
+      SCOPED_TRACE(field + " replaced by " + value.substr(0, 30));
+      // Any text is the name of a service, a zone or a state.
+      const bool is_text = value.size() > 1 && value[1] == 'x';
+      if (is_text && field != R"("ready")" && field != R"("10.128.0.9:8080")" &&
+          field[0] == '"')
+        continue;
+      const auto decoded = Decode(Item(
+          "servers/i-7f", ReplaceOnce(kServerEntry, field,
+                                      field == "3}" ? value + "}" : value)));
+      const auto* removed = std::get_if<RemovedServer>(&decoded);
+      ASSERT_TRUE(removed);
+      EXPECT_FALSE(removed->faults.empty());
+      EXPECT_LT(ToString(removed->faults).size(), kMaxFaultsLength);
+    }
+  }
+}
+
+// Guards against a whole entry that is odd, and against an unknown field whose
+// nesting ends the process.
+TEST(ServerCodecTest, RefusesOddEntries) {
+  std::vector<std::string> entries = OddValues();
+  for (const std::string& value : OddValues()) {
+    if (value.size() > 100000 && value[0] != '"')
+      entries.push_back(
+          ReplaceOnce(kServerEntry, "{", "{\"x\":" + value + ","));
+  }
+  for (const std::string& entry : entries) {
+    SCOPED_TRACE(entry.substr(0, 30));
+    const auto decoded = Decode(Item("servers/i-7f", entry));
+    const auto* removed = std::get_if<RemovedServer>(&decoded);
+    ASSERT_TRUE(removed);
+    EXPECT_FALSE(removed->faults.empty());
+  }
+}
+
+// Guards against a configuration with odd values that ends the process or that
+// comes into force with a value that has wrapped around.
+TEST(DocumentCodecTest, RejectsOddValues) {
+  const std::vector<std::string> fields = {
+      R"("0000001c")", "800", "200", "90",    R"("a","Weight")", "220",
+      "12.0",          "3.0", "77,", "16384", "67108864"};
+  for (const std::string& field : fields) {
+    for (std::string value : OddValues()) {
+      SCOPED_TRACE(field + " replaced by " + value.substr(0, 30));
+      if (field == "77,")
+        value += ",";
+      if (field == R"("a","Weight")") {
+        if (value[0] == '"')
+          continue;
+        value += R"(,"Weight")";
+      }
+      const auto decoded =
+          Decode(Item("op/config", ReplaceOnce(kConfiguration, field, value)));
+      // A rate below 0 means that the account has no limit.
+      if (field == "77," && value == "-1e308,")
+        continue;
+      const auto* invalid = std::get_if<InvalidDocument>(&decoded);
+      ASSERT_TRUE(invalid);
+      EXPECT_FALSE(invalid->faults.empty());
+      EXPECT_LT(ToString(invalid->faults).size(), 2000U);
+    }
+  }
+  for (const std::string& value : OddValues()) {
+    SCOPED_TRACE(value.substr(0, 30));
+    const auto decoded = Decode(Item("op/config", value));
+    EXPECT_TRUE(std::holds_alternative<InvalidDocument>(decoded));
+  }
+}
+
 // Guards against a deletion that is treated as an invalid entry.
 TEST(ItemCodecTest, DecodesDeletions) {
   StoreItem item = Item("servers/i-7f", "");
