Refuse numbers that do not fit their fields

Numbers of another writer, or of a mistaken configuration, came into force with another value: a weight, limit or priority above 2^32 lost its upper bits, a time such as 1e308 ms was converted outside the range of its type, which is undefined, and the limits for callers of the platform's configuration were not checked at all. A server's entry with a Sequence of another type, a start time below 0 or a cold time of 1e308 ms was used.

Cause: the values were cast without a check, and CheckDocument skipped the limits because the codec of mangodoor's own documents checks them itself. Casts now yield the nearest value of the type, which is outside the range of every field, and CheckDocument checks the limits.

--- a/src/version/document_check.cc
+++ b/src/version/document_check.cc
@@ -215,6 +215,24 @@
   }
 }
 
+// Number of bytes as a signed integer, which is what ranges have.
+int64_t ByteCount(uint64_t bytes) {
+  return static_cast<int64_t>(
+      std::min<uint64_t>(bytes, std::numeric_limits<int64_t>::max()));
+}
+
+void CheckLimits(Checker& checker) {
+  const CallerLimits& limits = checker.document.limits;
+  CheckRange(ContextAt(checker, "/limits/header_bytes"),
+             ByteCount(limits.header_bytes), kHeaderBytesRange);
+  CheckRange(ContextAt(checker, "/limits/body_bytes"),
+             ByteCount(limits.body_bytes), kBodyBytesRange);
+  CheckRange(ContextAt(checker, "/limits/header_time_ms"), limits.header_time,
+             kHeaderTimeRangeMs);
+  CheckRange(ContextAt(checker, "/limits/idle_time_ms"), limits.idle_time,
+             kIdleTimeRangeMs);
+}
+
 void CheckKeys(Checker& checker) {
   for (size_t i = 0; i < checker.document.keys.size(); ++i) {
     const ApiKey& key = checker.document.keys[i];
@@ -317,6 +335,7 @@
              kAdmissionWaitRangeMs);
   CheckRange(ContextAt(checker, "/address_keep_ms"), document.address_keep,
              kAddressKeepRangeMs);
+  CheckLimits(checker);
   CheckDataCentres(checker);
   CheckServices(checker);
   CheckRoutes(checker);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -169,6 +169,26 @@
   }
 }
 
+// Guards against numbers of another writer that are cut to the range of a type
+// or of a field, and then used.
+TEST(ServerCodecTest, RefusesNumbersOutOfRange) {
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"Slots\":3", "\"Slots\":-1"},
+           {"\"Slots\":3", "\"Slots\":4294967299"},
+           {"\"Sequence\":4", "\"Sequence\":\"4\""},
+           {"\"Sequence\":4", "\"Sequence\":1e400"},
+           {":1500", ":1e308"},
+           {":1500", ":99999999999999999999"},
+           {":1776048571020", ":-1"},
+           {":1776048571020", ":18446744073709551616"}}) {
+    SCOPED_TRACE(to);
+    const auto decoded =
+        Decode(Item("servers/i-7f", ReplaceOnce(kServerEntry, from, to)));
+    EXPECT_TRUE(std::holds_alternative<RemovedServer>(decoded));
+  }
+}
+
 // Guards against a whole entry that is odd, and against an unknown field whose
 // nesting ends the process.
 TEST(ServerCodecTest, RefusesOddEntries) {
@@ -192,7 +212,7 @@
 TEST(DocumentCodecTest, RejectsOddValues) {
   const std::vector<std::string> fields = {
       R"("0000001c")", "800", "200", "90",    R"("a","Weight")", "220",
-      "12.0",          "3.0", "77,", "16384", "67108864"};
+      "12.0",          "3.0", "77,", "16384", "67108864",        "3000"};
   for (const std::string& field : fields) {
     for (std::string value : OddValues()) {
       SCOPED_TRACE(field + " replaced by " + value.substr(0, 30));
@@ -221,6 +241,21 @@
   }
 }
 
+// Guards against integers that are cut to 32 bits and then accepted.
+TEST(DocumentCodecTest, RejectsIntegersThatDoNotFit) {
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"Weight\":90", "\"Weight\":4294967386"},
+           {"\"MaxConns\":220", "\"MaxConns\":4294967516"},
+           {"\"Priority\":2", "\"Priority\":4294967298"},
+           {"\"MaxAttempts\":2", "\"MaxAttempts\":4294967298"}}) {
+    SCOPED_TRACE(to);
+    const auto decoded =
+        Decode(Item("op/config", ReplaceOnce(kConfiguration, from, to)));
+    EXPECT_TRUE(std::holds_alternative<InvalidDocument>(decoded));
+  }
+}
+
 // Guards against a deletion that is treated as an invalid entry.
 TEST(ItemCodecTest, DecodesDeletions) {
   StoreItem item = Item("servers/i-7f", "");
