Check addresses when they are read

An entry of another writer with the address 999.1.1.1:80 or []:80 was taken for a server. Requests were sent to it until each attempt failed, and the exception of the address parser was thrown out of BackendTransport::Connect.

Cause: ParseEndpoint checked which characters an address has, not whether it is one. Connect reports an invalid address to its callback instead of throwing.

--- a/src/connection/io/backend_transport.cc
+++ b/src/connection/io/backend_transport.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <memory>
@@ -35,8 +36,14 @@
                                   Duration limit,
                                   ConnectCallback done) {
   auto operation = std::make_shared<ConnectOperation>(io_);
-  const tcp::endpoint remote(asio::ip::make_address(endpoint.address),
-                             endpoint.port);
+  boost::system::error_code invalid;
+  const auto address = asio::ip::make_address(endpoint.address, invalid);
+  if (invalid) {
+    asio::post(io_,
+               [invalid, done = std::move(done)] { done(invalid, nullptr); });
+    return;
+  }
+  const tcp::endpoint remote(address, endpoint.port);
   asio::dispatch(
       operation->strand, [operation, remote, limit, done = std::move(done)] {
         operation->timer.expires_after(limit);
--- a/src/version/endpoint.cc
+++ b/src/version/endpoint.cc
@@ -1,7 +1,11 @@
 #include "version/endpoint.h"
 
+#include <arpa/inet.h>
+
 #include <stdexcept>
 
+#include "version/fault.h"
+
 namespace mangodoor {
 namespace {
 
@@ -9,8 +13,8 @@
 constexpr size_t kMaxPortDigits = 5;
 
 [[noreturn]] void ThrowInvalid(const std::string& text) {
-  throw std::invalid_argument("\"" + text +
-                              "\" is not an endpoint; expected IP:PORT with a "
+  throw std::invalid_argument(Quoted(text) +
+                              " is not an endpoint; expected IP:PORT with a "
                               "port from 1 to 65535");
 }
 
@@ -24,6 +28,23 @@
   return static_cast<uint16_t>(port);
 }
 
+bool HasOnly(const std::string& text, const char* allowed) {
+  return text.find_first_not_of(allowed) == std::string::npos;
+}
+
+// inet_pton ends at a zero byte, so the characters are checked first.
+bool IsIpv4(const std::string& address) {
+  in_addr ignored{};
+  return HasOnly(address, "0123456789.") &&
+         inet_pton(AF_INET, address.c_str(), &ignored) == 1;
+}
+
+bool IsIpv6(const std::string& address) {
+  in6_addr ignored{};
+  return HasOnly(address, "0123456789abcdefABCDEF:.") &&
+         inet_pton(AF_INET6, address.c_str(), &ignored) == 1;
+}
+
 }  // namespace
 
 std::string ToString(const Endpoint& endpoint) {
@@ -41,13 +62,15 @@
   endpoint.port = ParsePort(text.substr(colon + 1), text);
   endpoint.address = text.substr(0, colon);
   if (endpoint.address.front() != '[') {
-    if (endpoint.address.find_first_not_of("0123456789.") != std::string::npos)
+    if (!IsIpv4(endpoint.address))
       ThrowInvalid(text);
     return endpoint;
   }
   if (endpoint.address.back() != ']')
     ThrowInvalid(text);
   endpoint.address = endpoint.address.substr(1, endpoint.address.size() - 2);
+  if (!IsIpv6(endpoint.address))
+    ThrowInvalid(text);
   return endpoint;
 }
 
--- a/src/version/endpoint.h
+++ b/src/version/endpoint.h
@@ -27,8 +27,7 @@
 
 /**
  * Parses the format of ToString, with a port from 1 to 65535. Throws
- * std::invalid_argument for other text, but does not check that the address is
- * a valid IP.
+ * std::invalid_argument for other text, such as a host name.
  */
 Endpoint ParseEndpoint(const std::string& text);
 
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -189,6 +189,26 @@
   }
 }
 
+// Guards against an entry without a usable address that is chosen for requests
+// until its connections fail.
+TEST(ServerCodecTest, RefusesAddressesThatCannotBeConnectedTo) {
+  for (const char* address :
+       {"999.1.1.1:80", "[]:80", ":80", "1.2.3.4", "1.2.3.4:0", "1.2.3.4:65536",
+        "1.2.3.4:99999999999", "host.example:80", "0.0.0.0:80", "[::]:80",
+        "[::0]:80", "224.0.0.1:80", "[ff02::1]:80", "255.255.255.255:80"}) {
+    SCOPED_TRACE(address);
+    const auto decoded = Decode(Item(
+        "servers/i-7f", ReplaceOnce(kServerEntry, "10.128.0.9:8080", address)));
+    const auto* removed = std::get_if<RemovedServer>(&decoded);
+    ASSERT_TRUE(removed);
+    EXPECT_THAT(ToString(removed->faults), HasSubstr("/Address"));
+  }
+  const auto decoded =
+      Decode(Item("servers/i-7f", ReplaceOnce(kServerEntry, "10.128.0.9:8080",
+                                              "[2001:db8::9]:80")));
+  EXPECT_TRUE(std::holds_alternative<ServerRecord>(decoded));
+}
+
 // Guards against a whole entry that is odd, and against an unknown field whose
 // nesting ends the process.
 TEST(ServerCodecTest, RefusesOddEntries) {
