Bound what is read ahead of the HTTP parsers

A store, an instance list or an instance whose response had an endless chunk size, chunk extension or trailer made its reader allocate memory until the time limit: 60 to 256 MB within a second on loopback, where machines have 160 MB.

Cause: Beast parses the line of a chunk and a trailer as a whole, and the buffers had no limit. They now hold 64 KB, so the read fails and the connection is closed.

--- a/src/process/io/blocking_get.cc
+++ b/src/process/io/blocking_get.cc
@@ -20,6 +20,10 @@
 // for each server.
 constexpr uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 
+// Bounds what is read ahead of the parser, and with it the extension of a chunk
+// and a trailer, which the parser reads as a whole.
+constexpr size_t kMaxBufferedBytes = 64 * 1024;
+
 HttpGetResponse Get(asio::io_context& context,
                     const Endpoint& endpoint,
                     const std::string& target,
@@ -35,9 +39,12 @@
   request.set(http::field::host, ToString(endpoint));
   request.set(http::field::connection, "close");
   http::async_write(stream, request, yield);
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxBufferedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxBodyBytes);
+  // Reads the header separately: Beast 1.74 loses the error of an exceeded body
+  // limit when bytes of the body arrive together with the header.
+  http::async_read_header(stream, buffer, parser, yield);
   http::async_read(stream, buffer, parser, yield);
   return {static_cast<int>(parser.get().result_int()),
           std::move(parser.get().body())};
--- a/src/process/io/http_get.cc
+++ b/src/process/io/http_get.cc
@@ -18,6 +18,10 @@
 
 constexpr uint64_t kMaxBodyBytes = 2 * 1024 * 1024;
 
+// Bounds what is read ahead of the parser, and with it the extension of a chunk
+// and a trailer, which the parser reads as a whole.
+constexpr size_t kMaxBufferedBytes = 64 * 1024;
+
 // One request and its response; kept alive by its pending handlers.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
@@ -87,7 +91,7 @@
   }
 
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferedBytes};
   HttpRequest request_;
   http::response_parser<http::string_body> parser_;
   std::function<void(HttpResult)> done_;
--- a/src/process/load/io/load_caller.cc
+++ b/src/process/load/io/load_caller.cc
@@ -54,6 +54,9 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxBodyBytes);
   parser.skip(!has_body);
+  // Reads the header separately: Beast 1.74 loses the error of an exceeded body
+  // limit when bytes of the body arrive together with the header.
+  http::async_read_header(stream, buffer, parser, yield);
   http::async_read(stream, buffer, parser, yield);
   return parser.release();
 }
--- a/src/process/load/io/load_caller.h
+++ b/src/process/load/io/load_caller.h
@@ -69,7 +69,12 @@
   AddressCache address_cache_;
   /** Null while not connected. */
   std::unique_ptr<boost::beast::tcp_stream> stream_;
-  boost::beast::flat_buffer buffer_;
+  /**
+   * Bounds what is read ahead of the parser, and with it the extension of a
+   * chunk and a trailer, which the parser reads as a whole.
+   */
+  static constexpr size_t kMaxBufferedBytes = 64 * 1024;
+  boost::beast::flat_buffer buffer_{kMaxBufferedBytes};
   Endpoint connected_to_;
 };
 
--- a/src/process/servers/io/health_prober.cc
+++ b/src/process/servers/io/health_prober.cc
@@ -38,11 +38,15 @@
   request.set(http::field::connection, "close");
   http::async_write(stream, request, yield);
   beast::flat_buffer buffer(kMaxHealthBytes);
-  http::response<http::string_body> response;
-  http::async_read(stream, buffer, response, yield);
-  if (response.result() != http::status::ok)
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxHealthBytes);
+  // Reads the header separately: Beast 1.74 loses the error of an exceeded body
+  // limit when bytes of the body arrive together with the header.
+  http::async_read_header(stream, buffer, parser, yield);
+  http::async_read(stream, buffer, parser, yield);
+  if (parser.get().result() != http::status::ok)
     return {};
-  return ParseHealth(response.body());
+  return ParseHealth(parser.get().body());
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,57 @@
+#include "store_client.h"
+
+#include <gtest/gtest.h>
+
+#include "process/endless_server.h"
+
+namespace mangodoor::platform {
+namespace {
+
+constexpr char kResponse[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n"
+    R"({"events":[],"CurrentRev":7})";
+
+StoreAnswer Watch(boost::asio::io_context& context, StoreClient& client) {
+  StoreAnswer result;
+  client.Watch(0, std::chrono::milliseconds(200),
+               [&result](StoreAnswer answer) { result = std::move(answer); });
+  context.run();
+  context.restart();
+  return result;
+}
+
+std::vector<EndlessResponse> ResponsesOfStore() {
+  std::vector<EndlessResponse> responses = EndlessResponses();
+  responses.push_back({"body until_close", "HTTP/1.1 200 OK\r\n\r\n", "a"});
+  responses.push_back({"body too_long",
+                       "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                       "a"});
+  return responses;
+}
+
+class EndlessStoreTest : public ::testing::TestWithParam<EndlessResponse> {};
+
+// Guards against memory that grows as long as a faulty store goes on writing,
+// and against a client that cannot read after it.
+TEST_P(EndlessStoreTest, EndsTheReadButNotTheNextOne) {
+  EndlessServer server(GetParam(), kResponse);
+  boost::asio::io_context context;
+  StoreClient client(context, server.endpoint());
+  EXPECT_EQ(Watch(context, client).kind, StoreAnswer::Kind::kUnavailable);
+  EXPECT_LT(server.bytes_sent(), kMaxEndlessBytes);
+  const StoreAnswer next = Watch(context, client);
+  EXPECT_EQ(next.kind, StoreAnswer::Kind::kItems);
+  EXPECT_EQ(next.revision, 7U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts,
+                         EndlessStoreTest,
+                         ::testing::ValuesIn(ResponsesOfStore()),
+                         [](const auto& info) {
+                           std::string name = info.param.name;
+                           name.replace(name.find(' '), 1, "_");
+                           return name;
+                         });
+
+}  // namespace
+}  // namespace mangodoor::platform
--- /dev/null
+++ b/tests/process/endless_server.h
@@ -0,0 +1,121 @@
+#ifndef TESTS_PROCESS_ENDLESS_SERVER_H_
+#define TESTS_PROCESS_ENDLESS_SERVER_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <ostream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "version/endpoint.h"
+
+namespace mangodoor {
+
+/** Bytes that a faulty server repeats after the start of a response. */
+struct EndlessResponse {
+  const char* name;
+  std::string begin;
+  std::string repeated;
+};
+
+inline void PrintTo(const EndlessResponse& response, std::ostream* out) {
+  *out << response.name;
+}
+
+/** Responses whose parts before or after the body have no end. */
+inline std::vector<EndlessResponse> EndlessResponses() {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  return {{"header field", "HTTP/1.1 200 OK\r\nX: ", "a"},
+          {"header fields", "HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+          {"status line", "HTTP/1.1 200 ", "a"},
+          {"chunk size", chunked, "0"},
+          {"chunk extension", chunked + "1;a=", "a"},
+          {"trailer field", chunked + "0\r\nX: ", "a"},
+          {"trailer fields", chunked + "0\r\n", "X: a\r\n"}};
+}
+
+/**
+ * Answers the first connection with an endless response, until the peer closes
+ * it, and later ones with `response`.
+ */
+class EndlessServer {
+ public:
+  EndlessServer(EndlessResponse endless, std::string response)
+      : endless_(std::move(endless)),
+        response_(std::move(response)),
+        acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
+        thread_([this] { Run(); }) {}
+
+  ~EndlessServer() {
+    stopping_ = true;
+    boost::system::error_code ignored;
+    boost::asio::ip::tcp::socket wake(context_);
+    wake.connect(acceptor_.local_endpoint(), ignored);
+    wake.close(ignored);
+    thread_.join();
+  }
+
+  Endpoint endpoint() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+  /** Bytes of the endless response that the peer has taken so far. */
+  size_t bytes_sent() const { return bytes_sent_; }
+
+ private:
+  static constexpr size_t kBlockBytes = 64 * 1024;
+  /** Ends a test in which the peer reads on. */
+  static constexpr size_t kMaxBytes = 256 * 1024 * 1024;
+
+  void Run() {
+    for (bool first = true; !stopping_; first = false) {
+      boost::system::error_code error;
+      boost::asio::ip::tcp::socket socket(context_);
+      acceptor_.accept(socket, error);
+      std::string request;
+      boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
+                              "\r\n\r\n", error);
+      if (error)
+        continue;
+      if (first)
+        SendEndless(socket);
+      else
+        boost::asio::write(socket, boost::asio::buffer(response_), error);
+    }
+  }
+
+  void SendEndless(boost::asio::ip::tcp::socket& socket) {
+    std::string block = endless_.begin;
+    boost::system::error_code error;
+    while (!error && !stopping_ && bytes_sent_ < kMaxBytes) {
+      while (block.size() < kBlockBytes)
+        block += endless_.repeated;
+      bytes_sent_ +=
+          boost::asio::write(socket, boost::asio::buffer(block), error);
+      block.clear();
+    }
+  }
+
+  const EndlessResponse endless_;
+  const std::string response_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<size_t> bytes_sent_{0};
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+/**
+ * More than a client may read of an endless response, with the buffers of both
+ * sockets.
+ */
+constexpr size_t kMaxEndlessBytes = 16 * 1024 * 1024;
+
+}  // namespace mangodoor
+
+#endif  // TESTS_PROCESS_ENDLESS_SERVER_H_
