--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -5,7 +5,7 @@
 #include "item_codec.h"
 #include "load_field.h"
 #include "names.h"
-#include "store_client.h"
+#include "store_answer.h"
 
 namespace mangodoor::platform {
 namespace {
@@ -416,10 +416,76 @@
   EXPECT_EQ(DecodeStoreAnswer(410, "").kind, StoreAnswer::Kind::kCompacted);
   EXPECT_EQ(DecodeStoreAnswer(429, "").kind, StoreAnswer::Kind::kRefused);
   EXPECT_EQ(DecodeStoreAnswer(503, "").kind, StoreAnswer::Kind::kRefused);
-  for (const char* malformed : {"", "[]", "{", R"({"items":[]})"})
+  for (const char* malformed :
+       {"", "[]", "{", R"({"items":[]})", R"({"items":[],"CurrentRev":1e400})",
+        R"({"items":[],"CurrentRev":-1})"})
     EXPECT_EQ(DecodeStoreAnswer(200, malformed).kind,
               StoreAnswer::Kind::kUnavailable);
 }
 
+/** An answer to a watch with one item of text between two usable ones. */
+StoreAnswer DecodeWith(const std::string& item) {
+  return DecodeStoreAnswer(
+      200, R"({"events":[{"Key":"a","Value":"YQ==","Revision":411},)" + item +
+               R"(,{"Key":"c","Value":"Yw==","Revision":413}],)" +
+               R"("CurrentRev":413})");
+}
+
+// Guards against an item that cannot be read and that keeps the others from
+// being read, or whose old value stays in use.
+TEST(StoreAnswerTest, ReadsOtherItemsBesideOneThatCannotBeRead) {
+  const std::string odd_text = "\"\xc3\x28\"";
+  for (const std::string& rest :
+       {std::string(R"("Revision":412)"),
+        std::string(R"("Revision":412,"Value":7)"),
+        std::string(R"("Revision":412,"Value":"not base64")"),
+        std::string(R"("Revision":412,"Value":"YQ==","LeaseId":1e400)"),
+        R"("Revision":412,"Value":)" + odd_text,
+        R"("Revision":412,"Value":)" + NestedLists(200000),
+        std::string(R"("Revision":1e400,"Value":"YQ==")"),
+        std::string(R"("Revision":-1,"Value":"YQ==")"),
+        std::string(R"("Revision":99999999999999999999,"Value":"YQ==")"),
+        std::string(R"("Revision":18446744073709551615,"Value":"YQ==")"),
+        std::string(R"("Value":"YQ==")")}) {
+    SCOPED_TRACE(rest.substr(0, 60));
+    const StoreAnswer answer =
+        DecodeWith(R"({"Key":"servers/b",)" + rest + "}");
+    ASSERT_EQ(answer.kind, StoreAnswer::Kind::kItems);
+    ASSERT_EQ(answer.items.size(), 3U);
+    EXPECT_EQ(answer.items[0].value, "a");
+    EXPECT_EQ(answer.items[1].key, "servers/b");
+    EXPECT_GE(answer.items[1].revision, 412U);
+    EXPECT_LE(answer.items[1].revision, 413U);
+    EXPECT_FALSE(answer.items[1].deleted);
+    EXPECT_EQ(answer.items[2].value, "c");
+  }
+}
+
+// Guards against an item without a usable key that keeps the others from being
+// read: peers refuse a message with a key that is too long.
+TEST(StoreAnswerTest, ReadsOtherItemsBesideOneWithoutUsableKey) {
+  for (const std::string& item :
+       {std::string("7"), std::string("[]"), std::string("{}"),
+        NestedLists(200000), std::string(R"({"Key":7,"Revision":412})"),
+        std::string("{\"Key\":\"\xc3\x28\",\"Revision\":412}"),
+        std::string(R"({"Key":"","Revision":412,"Deleted":true})"),
+        R"({"Revision":412,"Deleted":true,"Key":")" + std::string(201, 'k') +
+            "\"}"}) {
+    SCOPED_TRACE(item.substr(0, 60));
+    const StoreAnswer answer = DecodeWith(item);
+    ASSERT_EQ(answer.kind, StoreAnswer::Kind::kItems);
+    EXPECT_EQ(answer.items.size(), 2U);
+  }
+}
+
+// Guards against a full copy that lacks the items after a page of which nothing
+// can be read.
+TEST(StoreAnswerTest, RejectsPagesWithoutAUsableKey) {
+  EXPECT_EQ(DecodeStoreAnswer(
+                200, R"({"items":[{"Key":7}],"HasMore":true,"CurrentRev":7})")
+                .kind,
+            StoreAnswer::Kind::kUnavailable);
+}
+
 }  // namespace
 }  // namespace mangodoor::platform
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -29,6 +29,34 @@
   return responses;
 }
 
+/** Accepts one request and returns its first line. */
+std::string RequestLineOf(const std::string& after_key) {
+  boost::asio::io_context server_context;
+  boost::asio::ip::tcp::acceptor acceptor(
+      server_context, {boost::asio::ip::address_v4::loopback(), 0});
+  boost::asio::io_context context;
+  StoreClient client(context, {"127.0.0.1", acceptor.local_endpoint().port()});
+  client.ReadPage(after_key, ReadConsistency::kCurrent, [](StoreAnswer) {});
+  std::thread reader([&context] { context.run(); });
+  boost::asio::ip::tcp::socket socket = acceptor.accept();
+  std::string request;
+  boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
+                          "\r\n\r\n");
+  socket.close();
+  reader.join();
+  return request.substr(0, request.find("\r\n"));
+}
+
+// Guards against a key of another writer that changes the request for the next
+// page, so that the store cannot be read to its end.
+TEST(StoreClientTest, EscapesTheKeyInARequest) {
+  EXPECT_EQ(RequestLineOf("servers/i-7f"),
+            "GET /kv-range?Prefix=&after=servers/i-7f HTTP/1.1");
+  EXPECT_EQ(RequestLineOf("a b&StaleOk=1\r\n%\xff"),
+            "GET /kv-range?Prefix=&after=a%20b%26StaleOk%3D1%0D%0A%25%FF "
+            "HTTP/1.1");
+}
+
 class EndlessStoreTest : public ::testing::TestWithParam<EndlessResponse> {};
 
 // Guards against memory that grows as long as a faulty store goes on writing,
