--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -487,5 +487,24 @@
             StoreAnswer::Kind::kUnavailable);
 }
 
+// Guards against names of another writer that would be sent in header fields,
+// or in messages that peers refuse.
+TEST(ServerCodecTest, RefusesStrangeNames) {
+  for (const std::string& id :
+       {std::string("a b"), std::string("a\r\nX: y"), std::string("\xc3\x28"),
+        std::string(201, 'i'), std::string()}) {
+    SCOPED_TRACE(id);
+    EXPECT_TRUE(std::holds_alternative<RemovedServer>(
+        Decode(Item("servers/" + id, kServerEntry))));
+  }
+  for (const char* name : {"huvo11a", "muscat-a"}) {
+    for (const std::string& to :
+         {std::string("a\\nb"), std::string("a b"), std::string(201, 's')}) {
+      EXPECT_TRUE(std::holds_alternative<RemovedServer>(
+          Decode(Item("servers/i-7f", ReplaceOnce(kServerEntry, name, to)))));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace mangodoor::platform
