--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -5,7 +5,7 @@
 #include "item_codec.h"
 #include "load_field.h"
 #include "names.h"
-#include "store_client.h"
+#include "store_answer.h"
 
 namespace mangodoor::platform {
 namespace {
@@ -98,6 +98,184 @@
   }
 }
 
+/** A JSON list that contains `depth` - 1 lists, one in another. */
+std::string NestedLists(size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string NestedObjects(size_t depth) {
+  std::string text;
+  for (size_t i = 0; i < depth; ++i)
+    text += R"({"a":)";
+  return text + "0" + std::string(depth, '}');
+}
+
+std::string ReplaceOnce(std::string text,
+                        const std::string& from,
+                        const std::string& to) {
+  const size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return at == std::string::npos ? text : text.replace(at, from.size(), to);
+}
+
+/** Valid JSON values that no field of an entry may have. */
+std::vector<std::string> OddValues() {
+  // Recursion over this many levels would overflow the stack.
+  constexpr size_t kDeep = 200000;
+  return {NestedLists(kDeep),
+          NestedObjects(kDeep),
+          std::string(1000000, '['),
+          "\"" + std::string(1000000, 'x') + "\"",
+          "1e400",
+          "1e308",
+          "-1e308",
+          "18446744073709551616",
+          "99999999999999999999",
+          "\"\xc3\x28\"",
+          "[]",
+          "{}",
+          "true"};
+}
+
+// Guards against entries of another writer that end the process, that are used,
+// or whose faults are as long as the entry.
+TEST(ServerCodecTest, RefusesOddValuesInEveryField) {
+  const std::vector<std::string> fields = {
+      R"("10.128.0.9:8080")",
+      R"({"Service":"huvo11a","Version":"v1","Zone":"muscat-a","Slots":3})",
+      R"({"State":"ready","Sequence":4,"ColdRemainingMs":1500})",
+      R"("huvo11a")",
+      R"("muscat-a")",
+      R"("ready")",
+      "3}",
+      "1776048571020"};
+  constexpr size_t kMaxFaultsLength = 1000;
+  for (const std::string& field : fields) {
+    for (const std::string& value : OddValues()) {
+      SCOPED_TRACE(field + " replaced by " + value.substr(0, 30));
+      // Any text is the name of a service, a zone or a state.
+      const bool is_text = value.size() > 1 && value[1] == 'x';
+      if (is_text && field != R"("ready")" && field != R"("10.128.0.9:8080")" &&
+          field[0] == '"')
+        continue;
+      const auto decoded = Decode(Item(
+          "servers/i-7f", ReplaceOnce(kServerEntry, field,
+                                      field == "3}" ? value + "}" : value)));
+      const auto* removed = std::get_if<RemovedServer>(&decoded);
+      ASSERT_TRUE(removed);
+      EXPECT_FALSE(removed->faults.empty());
+      EXPECT_LT(ToString(removed->faults).size(), kMaxFaultsLength);
+    }
+  }
+}
+
+// Guards against numbers of another writer that are cut to the range of a type
+// or of a field, and then used.
+TEST(ServerCodecTest, RefusesNumbersOutOfRange) {
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"Slots\":3", "\"Slots\":-1"},
+           {"\"Slots\":3", "\"Slots\":4294967299"},
+           {"\"Sequence\":4", "\"Sequence\":\"4\""},
+           {"\"Sequence\":4", "\"Sequence\":1e400"},
+           {":1500", ":1e308"},
+           {":1500", ":99999999999999999999"},
+           {":1776048571020", ":-1"},
+           {":1776048571020", ":18446744073709551616"}}) {
+    SCOPED_TRACE(to);
+    const auto decoded =
+        Decode(Item("servers/i-7f", ReplaceOnce(kServerEntry, from, to)));
+    EXPECT_TRUE(std::holds_alternative<RemovedServer>(decoded));
+  }
+}
+
+// Guards against an entry without a usable address that is chosen for requests
+// until its connections fail.
+TEST(ServerCodecTest, RefusesAddressesThatCannotBeConnectedTo) {
+  for (const char* address :
+       {"999.1.1.1:80", "[]:80", ":80", "1.2.3.4", "1.2.3.4:0", "1.2.3.4:65536",
+        "1.2.3.4:99999999999", "host.example:80", "0.0.0.0:80", "[::]:80",
+        "[::0]:80", "224.0.0.1:80", "[ff02::1]:80", "255.255.255.255:80"}) {
+    SCOPED_TRACE(address);
+    const auto decoded = Decode(Item(
+        "servers/i-7f", ReplaceOnce(kServerEntry, "10.128.0.9:8080", address)));
+    const auto* removed = std::get_if<RemovedServer>(&decoded);
+    ASSERT_TRUE(removed);
+    EXPECT_THAT(ToString(removed->faults), HasSubstr("/Address"));
+  }
+  const auto decoded =
+      Decode(Item("servers/i-7f", ReplaceOnce(kServerEntry, "10.128.0.9:8080",
+                                              "[2001:db8::9]:80")));
+  EXPECT_TRUE(std::holds_alternative<ServerRecord>(decoded));
+}
+
+// Guards against a whole entry that is odd, and against an unknown field whose
+// nesting ends the process.
+TEST(ServerCodecTest, RefusesOddEntries) {
+  std::vector<std::string> entries = OddValues();
+  for (const std::string& value : OddValues()) {
+    if (value.size() > 100000 && value[0] != '"')
+      entries.push_back(
+          ReplaceOnce(kServerEntry, "{", "{\"x\":" + value + ","));
+  }
+  for (const std::string& entry : entries) {
+    SCOPED_TRACE(entry.substr(0, 30));
+    const auto decoded = Decode(Item("servers/i-7f", entry));
+    const auto* removed = std::get_if<RemovedServer>(&decoded);
+    ASSERT_TRUE(removed);
+    EXPECT_FALSE(removed->faults.empty());
+  }
+}
+
+// Guards against a configuration with odd values that ends the process or that
+// comes into force with a value that has wrapped around.
+TEST(DocumentCodecTest, RejectsOddValues) {
+  const std::vector<std::string> fields = {
+      R"("0000001c")", "800", "200", "90",    R"("a","Weight")", "220",
+      "12.0",          "3.0", "77,", "16384", "67108864",        "3000"};
+  for (const std::string& field : fields) {
+    for (std::string value : OddValues()) {
+      SCOPED_TRACE(field + " replaced by " + value.substr(0, 30));
+      if (field == "77,")
+        value += ",";
+      if (field == R"("a","Weight")") {
+        if (value[0] == '"')
+          continue;
+        value += R"(,"Weight")";
+      }
+      const auto decoded =
+          Decode(Item("op/config", ReplaceOnce(kConfiguration, field, value)));
+      // A rate below 0 means that the account has no limit.
+      if (field == "77," && value == "-1e308,")
+        continue;
+      const auto* invalid = std::get_if<InvalidDocument>(&decoded);
+      ASSERT_TRUE(invalid);
+      EXPECT_FALSE(invalid->faults.empty());
+      EXPECT_LT(ToString(invalid->faults).size(), 2000U);
+    }
+  }
+  for (const std::string& value : OddValues()) {
+    SCOPED_TRACE(value.substr(0, 30));
+    const auto decoded = Decode(Item("op/config", value));
+    EXPECT_TRUE(std::holds_alternative<InvalidDocument>(decoded));
+  }
+}
+
+// Guards against integers that are cut to 32 bits and then accepted.
+TEST(DocumentCodecTest, RejectsIntegersThatDoNotFit) {
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"Weight\":90", "\"Weight\":4294967386"},
+           {"\"MaxConns\":220", "\"MaxConns\":4294967516"},
+           {"\"Priority\":2", "\"Priority\":4294967298"},
+           {"\"MaxAttempts\":2", "\"MaxAttempts\":4294967298"}}) {
+    SCOPED_TRACE(to);
+    const auto decoded =
+        Decode(Item("op/config", ReplaceOnce(kConfiguration, from, to)));
+    EXPECT_TRUE(std::holds_alternative<InvalidDocument>(decoded));
+  }
+}
+
 // Guards against a deletion that is treated as an invalid entry.
 TEST(ItemCodecTest, DecodesDeletions) {
   StoreItem item = Item("servers/i-7f", "");
@@ -238,10 +416,95 @@
   EXPECT_EQ(DecodeStoreAnswer(410, "").kind, StoreAnswer::Kind::kCompacted);
   EXPECT_EQ(DecodeStoreAnswer(429, "").kind, StoreAnswer::Kind::kRefused);
   EXPECT_EQ(DecodeStoreAnswer(503, "").kind, StoreAnswer::Kind::kRefused);
-  for (const char* malformed : {"", "[]", "{", R"({"items":[]})"})
+  for (const char* malformed :
+       {"", "[]", "{", R"({"items":[]})", R"({"items":[],"CurrentRev":1e400})",
+        R"({"items":[],"CurrentRev":-1})"})
     EXPECT_EQ(DecodeStoreAnswer(200, malformed).kind,
               StoreAnswer::Kind::kUnavailable);
 }
 
+/** An answer to a watch with one item of text between two usable ones. */
+StoreAnswer DecodeWith(const std::string& item) {
+  return DecodeStoreAnswer(
+      200, R"({"events":[{"Key":"a","Value":"YQ==","Revision":411},)" + item +
+               R"(,{"Key":"c","Value":"Yw==","Revision":413}],)" +
+               R"("CurrentRev":413})");
+}
+
+// Guards against an item that cannot be read and that keeps the others from
+// being read, or whose old value stays in use.
+TEST(StoreAnswerTest, ReadsOtherItemsBesideOneThatCannotBeRead) {
+  const std::string odd_text = "\"\xc3\x28\"";
+  for (const std::string& rest :
+       {std::string(R"("Revision":412)"),
+        std::string(R"("Revision":412,"Value":7)"),
+        std::string(R"("Revision":412,"Value":"not base64")"),
+        std::string(R"("Revision":412,"Value":"YQ==","LeaseId":1e400)"),
+        R"("Revision":412,"Value":)" + odd_text,
+        R"("Revision":412,"Value":)" + NestedLists(200000),
+        std::string(R"("Revision":1e400,"Value":"YQ==")"),
+        std::string(R"("Revision":-1,"Value":"YQ==")"),
+        std::string(R"("Revision":99999999999999999999,"Value":"YQ==")"),
+        std::string(R"("Revision":18446744073709551615,"Value":"YQ==")"),
+        std::string(R"("Value":"YQ==")")}) {
+    SCOPED_TRACE(rest.substr(0, 60));
+    const StoreAnswer answer =
+        DecodeWith(R"({"Key":"servers/b",)" + rest + "}");
+    ASSERT_EQ(answer.kind, StoreAnswer::Kind::kItems);
+    ASSERT_EQ(answer.items.size(), 3U);
+    EXPECT_EQ(answer.items[0].value, "a");
+    EXPECT_EQ(answer.items[1].key, "servers/b");
+    EXPECT_GE(answer.items[1].revision, 412U);
+    EXPECT_LE(answer.items[1].revision, 413U);
+    EXPECT_FALSE(answer.items[1].deleted);
+    EXPECT_EQ(answer.items[2].value, "c");
+  }
+}
+
+// Guards against an item without a usable key that keeps the others from being
+// read: peers refuse a message with a key that is too long.
+TEST(StoreAnswerTest, ReadsOtherItemsBesideOneWithoutUsableKey) {
+  for (const std::string& item :
+       {std::string("7"), std::string("[]"), std::string("{}"),
+        NestedLists(200000), std::string(R"({"Key":7,"Revision":412})"),
+        std::string("{\"Key\":\"\xc3\x28\",\"Revision\":412}"),
+        std::string(R"({"Key":"","Revision":412,"Deleted":true})"),
+        R"({"Revision":412,"Deleted":true,"Key":")" + std::string(201, 'k') +
+            "\"}"}) {
+    SCOPED_TRACE(item.substr(0, 60));
+    const StoreAnswer answer = DecodeWith(item);
+    ASSERT_EQ(answer.kind, StoreAnswer::Kind::kItems);
+    EXPECT_EQ(answer.items.size(), 2U);
+  }
+}
+
+// Guards against a full copy that lacks the items after a page of which nothing
+// can be read.
+TEST(StoreAnswerTest, RejectsPagesWithoutAUsableKey) {
+  EXPECT_EQ(DecodeStoreAnswer(
+                200, R"({"items":[{"Key":7}],"HasMore":true,"CurrentRev":7})")
+                .kind,
+            StoreAnswer::Kind::kUnavailable);
+}
+
+// Guards against names of another writer that would be sent in header fields,
+// or in messages that peers refuse.
+TEST(ServerCodecTest, RefusesStrangeNames) {
+  for (const std::string& id :
+       {std::string("a b"), std::string("a\r\nX: y"), std::string("\xc3\x28"),
+        std::string(201, 'i'), std::string()}) {
+    SCOPED_TRACE(id);
+    EXPECT_TRUE(std::holds_alternative<RemovedServer>(
+        Decode(Item("servers/" + id, kServerEntry))));
+  }
+  for (const char* name : {"huvo11a", "muscat-a"}) {
+    for (const std::string& to :
+         {std::string("a\\nb"), std::string("a b"), std::string(201, 's')}) {
+      EXPECT_TRUE(std::holds_alternative<RemovedServer>(
+          Decode(Item("servers/i-7f", ReplaceOnce(kServerEntry, name, to)))));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace mangodoor::platform
