Send a member to other data centres when it becomes a hub

Cause: a leader sends an instance of another data centre only the hubs there. If all instances of that data centre stop and one restarts before the others count the data centre as silent, only that one can notice the stopped instances. It declares the three hubs that it was sent gone. The next three members become hubs, but their own changes are older than the link's sent_change, so they were never sent, and nobody checked them. "Sent all changes in the scope up to this one" did not hold once the scope could gain a member without a change of that member.

Fix: the table keeps, for each hub, the number of the change by which it became one. A member that is in a link's scope only as a hub counts as changed then.

--- a/src/process/fleet/fleet_table.cc
+++ b/src/process/fleet/fleet_table.cc
@@ -25,9 +25,9 @@
       });
   if (none_due)
     return;
-  const HubRanks hubs = RankHubs(member_list);
+  UpdateHubs(table.hubs, member_list);
   for (auto& [peer, link] : table.links) {
-    const UpdateScope scope = ScopeFor(member_list, hubs, peer);
+    const UpdateScope scope = ScopeFor(member_list, table.hubs, peer);
     // Members that the narrower scope left out have to be sent now.
     if (scope > link.scope)
       link.sent_change = 0;
@@ -35,7 +35,7 @@
     if (link.sent_change >= member_list.last_change)
       continue;
     MemberUpdate update{
-        UpdatesFor(member_list, hubs,
+        UpdatesFor(member_list, table.hubs,
                    {peer, scope, link.sent_change, link.opened_at_change})};
     link.sent_change = member_list.last_change;
     if (!update.members.empty())
--- a/src/process/fleet/fleet_table.h
+++ b/src/process/fleet/fleet_table.h
@@ -52,6 +52,8 @@
   std::vector<Endpoint> seeds;
   /** Open links. */
   std::map<InstanceId, FleetLink> links;
+  /** The hubs of all data centres when updates were last sent. */
+  Hubs hubs;
   /** Counts openings and closings of links. */
   uint64_t link_changes = 0;
   /** The latest view; rebuilt when `view_changes` is out of date. */
--- a/src/process/fleet/update_scope.cc
+++ b/src/process/fleet/update_scope.cc
@@ -1,51 +1,81 @@
 #include "process/fleet/update_scope.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace mangodoor {
 namespace {
 
-bool IsLeader(const HubRanks& hubs, const InstanceId& id) {
-  const auto rank = hubs.find(id);
-  return rank != hubs.end() && rank->second == 0;
+bool IsLeader(const Hubs& hubs, const InstanceId& id) {
+  const auto hub = hubs.find(id);
+  return hub != hubs.end() && hub->second.rank == 0;
 }
 
-bool IsInScope(const MemberEntry& entry,
-               const MemberList& member_list,
-               const HubRanks& hubs,
-               UpdateScope scope,
-               const DataCentreId& peer_data_centre) {
+/** True if the scope includes a member whether or not it is a hub. */
+bool IsAlwaysInScope(const Member& member,
+                     const MemberList& member_list,
+                     UpdateScope scope,
+                     const DataCentreId& peer_data_centre) {
+  if (scope == UpdateScope::kSelf)
+    return false;
+  if (scope == UpdateScope::kFleet)
+    return true;
+  if (member.state == MemberState::kGone &&
+      member.data_centre == peer_data_centre)
+    return true;
+  return scope == UpdateScope::kDataCentre &&
+         member.data_centre == member_list.self.data_centre;
+}
+
+/** True if the scope includes the hubs of a data centre. */
+bool IncludesHubsOf(const DataCentreId& data_centre,
+                    UpdateScope scope,
+                    const DataCentreId& peer_data_centre) {
+  if (scope == UpdateScope::kPeerHubs)
+    return data_centre == peer_data_centre;
+  return scope != UpdateScope::kSelf;
+}
+
+/**
+ * Number of the latest change by which a member's state came into the scope:
+ * its own, or the one by which it became a hub. Unset if it is not in scope.
+ */
+std::optional<uint64_t> LatestChangeInScope(
+    const MemberEntry& entry,
+    const MemberList& member_list,
+    const Hubs& hubs,
+    UpdateScope scope,
+    const DataCentreId& peer_data_centre) {
   const Member& member = entry.member;
-  const bool is_hub = hubs.count(member.id) > 0;
-  const bool is_in_peer_data_centre = member.data_centre == peer_data_centre;
-  if (is_in_peer_data_centre && (is_hub || member.state == MemberState::kGone))
-    return scope != UpdateScope::kSelf;
-  switch (scope) {
-    case UpdateScope::kSelf:
-    case UpdateScope::kPeerHubs:
-      return false;
-    case UpdateScope::kDataCentre:
-      return is_hub || member.data_centre == member_list.self.data_centre;
-    case UpdateScope::kFleet:
-      return true;
-  }
-  return true;
+  if (IsAlwaysInScope(member, member_list, scope, peer_data_centre))
+    return entry.change;
+  const auto hub = hubs.find(member.id);
+  if (hub == hubs.end() ||
+      !IncludesHubsOf(member.data_centre, scope, peer_data_centre))
+    return std::nullopt;
+  return std::max(entry.change, hub->second.since_change);
 }
 
 }  // namespace
 
-HubRanks RankHubs(const MemberList& member_list) {
-  HubRanks hubs;
+void UpdateHubs(Hubs& hubs, const MemberList& member_list) {
+  Hubs updated;
   for (const DataCentreId& data_centre : KnownDataCentres(member_list)) {
     const auto ranked = RankedMembers(member_list, data_centre);
-    for (size_t i = 0; i < std::min(kHubsPerDataCentre, ranked.size()); ++i)
-      hubs[ranked[i]->id] = i;
+    for (size_t i = 0; i < std::min(kHubsPerDataCentre, ranked.size()); ++i) {
+      const auto known = hubs.find(ranked[i]->id);
+      const uint64_t since_change = known == hubs.end()
+                                        ? member_list.last_change
+                                        : known->second.since_change;
+      updated[ranked[i]->id] = {i, since_change};
+    }
   }
-  return hubs;
+  hubs = std::move(updated);
 }
 
 UpdateScope ScopeFor(const MemberList& member_list,
-                     const HubRanks& hubs,
+                     const Hubs& hubs,
                      const InstanceId& peer) {
   const auto known = member_list.members.find(peer);
   if (known == member_list.members.end())
@@ -67,7 +97,7 @@
 }
 
 std::vector<Member> UpdatesFor(const MemberList& member_list,
-                               const HubRanks& hubs,
+                               const Hubs& hubs,
                                const LinkSyncState& link) {
   std::vector<Member> updates;
   if (member_list.own_change > link.sent_change)
@@ -81,8 +111,9 @@
     // restarted since and no longer know it.
     const bool sent_by_peer =
         entry.learned_from == link.peer && entry.change > link.opened_at_change;
-    if (entry.change > link.sent_change && !sent_by_peer &&
-        IsInScope(entry, member_list, hubs, link.scope, data_centre))
+    const std::optional<uint64_t> change =
+        LatestChangeInScope(entry, member_list, hubs, link.scope, data_centre);
+    if (change && *change > link.sent_change && !sent_by_peer)
       updates.push_back(entry.member);
   }
   return updates;
--- a/src/process/fleet/update_scope.h
+++ b/src/process/fleet/update_scope.h
@@ -23,14 +23,21 @@
   kFleet,
 };
 
-/** Ranks of the hubs of all data centres. */
-using HubRanks = std::map<InstanceId, size_t>;
+/** A hub of any data centre. */
+struct Hub {
+  size_t rank = 0;
+  /** Number of the latest change when it was first found to be a hub. */
+  uint64_t since_change = 0;
+};
+
+using Hubs = std::map<InstanceId, Hub>;
 
-HubRanks RankHubs(const MemberList& member_list);
+/** Replaces `hubs` by the present hubs of all data centres. */
+void UpdateHubs(Hubs& hubs, const MemberList& member_list);
 
 /** The scope of updates to a peer. */
 UpdateScope ScopeFor(const MemberList& member_list,
-                     const HubRanks& hubs,
+                     const Hubs& hubs,
                      const InstanceId& peer);
 
 /** Which updates a link carries, and which of them have been sent. */
@@ -46,11 +53,12 @@
 /**
  * The updates that the peer has to be sent now. In every scope but kSelf they
  * include members of the peer's data centre that were declared gone, since only
- * such a member itself can refute the declaration. Updates that the peer itself
- * sent over this link are left out.
+ * such a member itself can refute the declaration. A member that comes into the
+ * scope because it becomes a hub is sent then, however old its own change is.
+ * Updates that the peer itself sent over this link are left out.
  */
 std::vector<Member> UpdatesFor(const MemberList& member_list,
-                               const HubRanks& hubs,
+                               const Hubs& hubs,
                                const LinkSyncState& link);
 
 }  // namespace mangodoor
--- a/tests/members/membership_sim_test.cc
+++ b/tests/members/membership_sim_test.cc
@@ -91,6 +91,24 @@
   ExpectAllAgree(sim);
 }
 
+// Guards against stopped instances that stay in the tables: all instances of a
+// data centre stop, and the first one restarts before the others count the data
+// centre as silent. It is first sent the hubs, and only it can find the rest.
+TEST(MembershipSimTest, FirstInstanceOfARestartedDataCentreFindsTheStopped) {
+  constexpr int kEach = 7;
+  for (int restarted = kEach; restarted < 2 * kEach; ++restarted) {
+    FleetSim sim(3, kEach, 3);
+    StartAll(sim);
+    sim.RunFor(seconds(3));
+    for (int i = kEach; i < 2 * kEach; ++i)
+      sim.Kill(i);
+    sim.RunFor(seconds(1));
+    sim.Start(restarted);
+    sim.RunFor(kRemovalTime);
+    ExpectAllAgree(sim);
+  }
+}
+
 // Guards against a restarted instance that stays outside the fleet: all seeds
 // are down, so the running instances have to link to it.
 TEST(MembershipSimTest, RestartedInstanceIsFoundWithoutSeeds) {
