--- a/tests/soak_fleet/program/soak.cc
+++ b/tests/soak_fleet/program/soak.cc
@@ -42,12 +42,16 @@
                                  false, 3, "count", command);
     TCLAP::ValueArg<int> callers("c", "callers", "Callers", false, 12, "count",
                                  command);
+    TCLAP::SwitchArg unavailable_after_run(
+        "u", "unavailable-after-run",
+        "Servers also respond with 503 to requests that ran", command);
     command.parse(argc, argv);
     mangodoor::SoakSize size;
     size.length = std::chrono::seconds(length.getValue());
     size.instances = instances.getValue();
     size.servers_per_zone = servers.getValue();
     size.callers = callers.getValue();
+    size.unavailable_after_run = unavailable_after_run.getValue();
     int broken = 0;
     for (int i = 0; i < seeds.getValue(); ++i)
       broken +=
--- a/tests/soak_fleet/soak_plan.h
+++ b/tests/soak_fleet/soak_plan.h
@@ -20,6 +20,11 @@
   int servers_per_zone = 3;
   int callers = 12;
   std::chrono::milliseconds length{20000};
+  /**
+   * Servers also respond with 503 to requests that ran. The interface of the
+   * platform does not say whether its servers do.
+   */
+  bool unavailable_after_run = false;
 };
 
 enum class SoakFaultKind {
