Keep a length stated by a health response from ending the process

An instance ended with bad_alloc when a backend server's response to a probe stated a Content-Length of 10^12 bytes and some of the body arrived with the head. Beast 1.74 loses the error of the exceeded body limit in that case, and its string body reserves the stated length.

BlockingGet, which command-line tools use, is changed alike and not tested.

--- a/src/process/io/blocking_get.cc
+++ b/src/process/io/blocking_get.cc
@@ -38,6 +38,8 @@
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxBodyBytes);
+  // Separately, for the reason given in LoadProbe::Read.
+  http::async_read_header(stream, buffer, parser, yield);
   http::async_read(stream, buffer, parser, yield);
   return {static_cast<int>(parser.get().result_int()),
           std::move(parser.get().body())};
--- a/src/process/servers/io/health_prober.cc
+++ b/src/process/servers/io/health_prober.cc
@@ -37,8 +37,12 @@
   request.set(http::field::connection, "close");
   http::async_write(stream, request, yield);
   beast::flat_buffer buffer(kMaxHealthBytes);
-  http::response<http::string_body> response;
-  http::async_read(stream, buffer, response, yield);
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxHealthBytes);
+  // Separately, for the reason given in LoadProbe::Read.
+  http::async_read_header(stream, buffer, parser, yield);
+  http::async_read(stream, buffer, parser, yield);
+  const auto& response = parser.get();
   if (response.result() != http::status::ok)
     return {};
   return ParseHealth(response.body());
--- a/src/process/servers/io/load_prober.cc
+++ b/src/process/servers/io/load_prober.cc
@@ -101,7 +101,21 @@
         }));
   }
 
+  // Reads the header separately: Beast 1.74 loses the error of an exceeded body
+  // limit when bytes of the body arrive together with the header, and allocates
+  // the length that the header states.
   void Read() {
+    http::async_read_header(
+        *connection_->socket, connection_->buffer, parser_,
+        asio::bind_executor(strand_, [self = shared_from_this()](
+                                         const ErrorCode& error, size_t) {
+          if (error)
+            return self->End(false);
+          self->ReadBody();
+        }));
+  }
+
+  void ReadBody() {
     http::async_read(
         *connection_->socket, connection_->buffer, parser_,
         asio::bind_executor(strand_, [self = shared_from_this()](
--- a/tests/fleet/harness/http_client.h
+++ b/tests/fleet/harness/http_client.h
@@ -2,7 +2,7 @@
 #define TESTS_FLEET_HARNESS_HTTP_CLIENT_H_
 
 #include <chrono>
-#include <limits>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,7 +19,7 @@
   /** Sends the body in chunks, without its length. */
   bool chunked = false;
   /** A response with a larger body counts as incomplete. */
-  uint64_t max_response_body = std::numeric_limits<uint64_t>::max();
+  uint64_t max_response_body = uint64_t{64} * 1024 * 1024;
 };
 
 struct ClientResponse {
