--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -102,6 +102,8 @@
   /** Looks up addresses in an instance's directory; empty if this fails. */
   std::vector<Endpoint> Lookup(int index) const;
   Endpoint caller_endpoint(int index) const;
+  /** Address of a server, behind its relay if there is one. */
+  Endpoint server_address(int index) const;
   /**
    * Returns where to connect for an address from Lookup: the relay in front of
    * the address, or the address itself if there is no relay.
@@ -131,7 +133,6 @@
  private:
   static size_t Index(int index) { return static_cast<size_t>(index); }
   std::string Host(int group, int index) const;
-  Endpoint server_address(int index) const;
   Endpoint announced_address(int index) const;
   Endpoint store_address(int instance) const;
   void StartRelays();
--- a/tests/soak_fleet/soak_record.cc
+++ b/tests/soak_fleet/soak_record.cc
@@ -53,6 +53,13 @@
   return text;
 }
 
+/** The id of a request and when it was sent, for messages. */
+std::string Named(const SoakRecord& record, const ObservedRequest& request) {
+  const auto offset = std::chrono::duration_cast<std::chrono::milliseconds>(
+      request.sent_at - record.started_at);
+  return request.id + " (sent at " + std::to_string(offset.count()) + " ms)";
+}
+
 /** The statuses that servers sent for a request, for messages. */
 std::string SentStatuses(const SoakRecord& record, const std::string& id) {
   std::string text;
@@ -71,10 +78,11 @@
   for (const ObservedRequest& request : record.requests) {
     const size_t runs = record.runs.count(request.id);
     if (!request.idempotent && runs > 1)
-      violations.push_back(request.id + " ran " + std::to_string(runs) +
-                           " times; " + SentStatuses(record, request.id));
+      violations.push_back(Named(record, request) + " ran " +
+                           std::to_string(runs) + " times; " +
+                           SentStatuses(record, request.id));
     if (!request.idempotent && runs > 0 && MeansNotRun(request.status)) {
-      violations.push_back(request.id + " was refused with " +
+      violations.push_back(Named(record, request) + " was refused with " +
                            std::to_string(request.status) + " and ran; " +
                            SentStatuses(record, request.id));
     }
@@ -125,15 +133,16 @@
 void CheckResponses(const SoakRecord& record, Violations& violations) {
   for (const ObservedRequest& request : record.requests) {
     if (!request.malformed.empty())
-      violations.push_back(request.id + " got bytes that are not a response: " +
-                           request.malformed);
+      violations.push_back(
+          Named(record, request) +
+          " got bytes that are not a response: " + request.malformed);
     if (request.status == 0)
       continue;
     const std::string fault = FaultOfResponse(record, request);
     if (fault.empty())
       continue;
-    violations.push_back(request.id + " " + fault + ": " + request.method +
-                         " " + request.path + ", status " +
+    violations.push_back(Named(record, request) + " " + fault + ": " +
+                         request.method + " " + request.path + ", status " +
                          std::to_string(request.status) + ", " +
                          std::to_string(request.body.size) +
                          " bytes: " + Shown(request.body.begin) + "; " +
--- a/tests/soak_fleet/soak_record.h
+++ b/tests/soak_fleet/soak_record.h
@@ -101,6 +101,8 @@
 
 /** Everything that callers, servers and the operator observed. */
 struct SoakRecord {
+  /** Violations state times from here, as the plan of the faults does. */
+  TimePoint started_at{};
   std::vector<ObservedRequest> requests;
   std::vector<VersionCheck> version_checks;
   std::vector<PublishedVersion> published;
--- a/tests/soak_fleet/soak_record_test.cc
+++ b/tests/soak_fleet/soak_record_test.cc
@@ -73,7 +73,10 @@
   AddRequest(200, false);
   AddRun(0);
   AddRun(1);
-  EXPECT_THAT(FindViolations(record_), ElementsAre(HasSubstr("ran 2 times")));
+  record_.started_at = At(seconds(1));
+  EXPECT_THAT(
+      FindViolations(record_),
+      ElementsAre(HasSubstr("c (sent at 5000 ms) ran 2 times; servers sent")));
 }
 
 TEST_F(SoakRecordTest, RefusalOfARequestThatRanIsFound) {
--- a/tests/soak_fleet/soak_run.cc
+++ b/tests/soak_fleet/soak_run.cc
@@ -166,6 +166,10 @@
 
 void SoakRun::InjectFaults() {
   const TimePoint start = Now();
+  {
+    OrderedLock lock(mutex_);
+    record_.started_at = start;
+  }
   auto next = plan_.begin();
   while (Now() - start < size_.length) {
     const Duration elapsed = Now() - start;
