Generate server bytes and check what callers read

A generator plays the data path with servers that write any mix of their own, earlier, foreign and broken responses, and an oracle with a parser of its own checks each byte that a caller reads, and what servers receive.

--- a/tests/connection/fake_server.cc
+++ b/tests/connection/fake_server.cc
@@ -46,6 +46,7 @@
   // Asio is not used here, since its blocking reads poll without a time limit.
   const ssize_t size = ::recv(socket_.native_handle(), piece, sizeof(piece), 0);
   timed_out_ = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  reset_by_peer_ = size < 0 && errno == ECONNRESET;
   if (size <= 0)
     return false;
   buffer_.append(piece, static_cast<size_t>(size));
@@ -96,6 +97,19 @@
   ::shutdown(socket_.native_handle(), SHUT_RDWR);
 }
 
+// Disconnecting a socket resets its connection and keeps its descriptor, which
+// another thread may be about to use.
+void TestConnection::Reset() {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  ::connect(socket_.native_handle(), &none, sizeof(none));
+}
+
+void TestConnection::SendSmallWrites() {
+  boost::system::error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+}
+
 FakeServer::FakeServer(Script script)
     : script_(std::move(script)),
       acceptor_(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
--- a/tests/connection/fake_server.h
+++ b/tests/connection/fake_server.h
@@ -40,17 +40,25 @@
   void Close();
   /** Ends the connection. Can be called while another thread uses it. */
   void Shutdown();
+  /** Resets the connection, which stays usable for Shutdown. */
+  void Reset();
+  /** Reads what arrives next into buffer(). False if nothing arrives. */
+  bool ReadSome();
+  /** Sends each write at once, in a segment of its own. */
+  void SendSmallWrites();
+  const std::string& buffer() const { return buffer_; }
   bool timed_out() const { return timed_out_; }
+  /** True if the other side has reset the connection. */
+  bool reset_by_peer() const { return reset_by_peer_; }
 
  private:
   friend class FakeServer;
 
-  bool ReadSome();
-
   boost::asio::io_context io_;
   boost::asio::ip::tcp::socket socket_;
   std::string buffer_;
   bool timed_out_ = false;
+  bool reset_by_peer_ = false;
 };
 
 /** A backend server that runs a script for each connection. */
--- /dev/null
+++ b/tests/connection/server_bytes_property_test.cc
@@ -0,0 +1,44 @@
+#include <gtest/gtest.h>
+// Uses names of gtest.h.
+#include <rapidcheck/gtest.h>
+
+#include "connection/scenario_player.h"
+#include "connection/server_bytes_gen.h"
+#include "connection/transcript_oracle.h"
+
+namespace mangodoor {
+namespace {
+
+std::string Join(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines)
+    text += "  " + line + "\n";
+  return text;
+}
+
+void CheckScenario(const Scenario& scenario, Interface offered) {
+  ScenarioPlayer player(scenario, offered);
+  const Transcript transcript = player.Play();
+  const std::vector<std::string> violations = FindViolations(transcript);
+  if (!violations.empty())
+    RC_FAIL("violations:\n" + Join(violations));
+  RC_ASSERT(Eventually([&player] { return player.IsIdle(); }));
+  RC_CLASSIFY(ForwardedResponses(transcript) > 0, "forwarded a response");
+  RC_CLASSIFY(scenario.has_hedges, "with hedges");
+}
+
+// Guards against a response that is not the caller's own or not whole, a false
+// "not run", and a repeated request, whatever bytes servers write
+// (docs/design.md 1.2, I6, I7, I8).
+RC_GTEST_PROP(ServerBytesProperty, CallersGetTheirOwnWholeResponses, ()) {
+  CheckScenario(*GenScenario(), Interface::kWithIdsAndSignatures);
+}
+
+// The same where responses have no ids, so that a late response can only be
+// told from the next one by its time.
+RC_GTEST_PROP(ServerBytesProperty, CallersGetWholeResponsesWithoutIds, ()) {
+  CheckScenario(*GenScenario(), Interface::kPlain);
+}
+
+}  // namespace
+}  // namespace mangodoor
