--- a/src/connection/response_fault.cc
+++ b/src/connection/response_fault.cc
@@ -29,6 +29,8 @@
       return "extra_response";
     case ResponseFault::kNoRequestId:
       return "no_request_id";
+    case ResponseFault::kRepeatedField:
+      return "repeated_field";
     case ResponseFault::kOtherRequestId:
       return "other_request_id";
     case ResponseFault::kBytesAfterResponse:
@@ -41,6 +43,10 @@
       return "head_too_large";
     case ResponseFault::kProtocolSwitched:
       return "protocol_switched";
+    case ResponseFault::kTooManyResponses:
+      return "too_many_responses";
+    case ResponseFault::kTransferCoding:
+      return "transfer_coding";
     case ResponseFault::kEncoded:
       return "encoded";
     case ResponseFault::kNotSigned:
--- a/src/connection/response_fault.h
+++ b/src/connection/response_fault.h
@@ -15,6 +15,8 @@
   kExtraResponse,
   /** A response without the request id that the interface requires. */
   kNoRequestId,
+  /** A field that decides about the response occurs more than once. */
+  kRepeatedField,
   /** A response to a request that was not sent on the connection. */
   kOtherRequestId,
   /** Bytes arrived behind a complete response. */
@@ -24,6 +26,10 @@
   kMalformedHead,
   kHeadTooLarge,
   kProtocolSwitched,
+  /** Too many interim and extra responses in front of the awaited one. */
+  kTooManyResponses,
+  /** A transfer coding other than chunked, which the caller cannot undo. */
+  kTransferCoding,
   /** A content encoding that the caller did not ask for. */
   kEncoded,
   /** A successful response without the server's signature. */
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -18,6 +18,9 @@
 namespace http = boost::beast::http;
 
 constexpr size_t kReadSize = 16 * 1024;
+// More than any sound server sends, so that one that never stops is noticed
+// long before the deadline.
+constexpr int kMaxOtherResponses = 32;
 constexpr unsigned kStatusSwitchingProtocols = 101;
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kSuccessClass = 2;
@@ -198,7 +201,11 @@
 }
 
 AttemptReport::End BackendAttempt::ReadResponseHead(YieldContext yield) {
-  while (!response_) {
+  for (int others = 0; !response_; ++others) {
+    if (others > kMaxOtherResponses) {
+      RecordFault(ResponseFault::kTooManyResponses);
+      return AttemptReport::End::kBadResponse;
+    }
     if (const auto failed = ReadNextResponse(yield))
       return *failed;
   }
@@ -228,6 +235,11 @@
     RecordFault(ResponseFault::kProtocolSwitched, response.get());
     return AttemptReport::End::kBadResponse;
   }
+  // The head of a response that breaks off in a field can run into the next.
+  if (RepeatsDecidingField(response->header, context_.http_profile)) {
+    RecordFault(ResponseFault::kRepeatedField, response.get());
+    return AttemptReport::End::kBadResponse;
+  }
   const ResponseOwner owner =
       OwnerOf(RequestIdOf(*response), {request_.id, request_.is_head},
               connection_->sent);
@@ -376,6 +388,8 @@
 std::optional<ResponseFault> BackendAttempt::FaultOfResponse() const {
   const HttpProfile& http_profile = context_.http_profile;
   const ResponseHeader& header = response_->header;
+  if (HasUnsupportedTransferCoding(header))
+    return ResponseFault::kTransferCoding;
   if (http_profile.rejects_encoded_responses &&
       header.count(http::field::content_encoding) > 0)
     return ResponseFault::kEncoded;
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -222,6 +222,23 @@
                                         : View(header[http_profile.key_field]);
 }
 
+bool RepeatsDecidingField(const ResponseHeader& header,
+                          const HttpProfile& http_profile) {
+  const auto repeats = [&header](const std::string& name) {
+    return !name.empty() && header.count(name) > 1;
+  };
+  return repeats(http_profile.request_id) || repeats(http_profile.signature) ||
+         repeats(http_profile.not_run);
+}
+
+bool HasUnsupportedTransferCoding(const ResponseHeader& header) {
+  const size_t count = header.count(field::transfer_encoding);
+  if (count == 0)
+    return false;
+  return count > 1 || header.version() == kHttp10 ||
+         !beast::iequals(header[field::transfer_encoding], "chunked");
+}
+
 bool ExpectsContinue(const RequestHeader& header) {
   return beast::iequals(header[field::expect], "100-continue");
 }
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -371,6 +371,63 @@
   EXPECT_EQ(FaultCount(ResponseFault::kOtherRequestId), 1);
 }
 
+// Guards against a request that waits until its deadline while its server
+// writes interim or extra responses without end.
+TEST_F(SigningServerTest, ResponsesWithoutEndAreCutOff) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nX-Id: two\r\n\r\n";
+  for (const std::string& endless : {interim, SignedResponse("one", "again")}) {
+    SCOPED_TRACE(endless);
+    StartAgainWith([endless](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(SignedResponse("one", "first"));
+      connection.ReadMessage();
+      while (connection.Write(endless)) {
+      }
+    });
+    TestConnection caller = Connect();
+    caller.Write(Post("one"));
+    EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+    caller.Write(Post("two"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(StartsWith("HTTP/1.1 502"),
+                      HasSubstr("Mangodoor-Outcome: unknown")));
+  }
+  EXPECT_EQ(FaultCount(ResponseFault::kTooManyResponses), 2);
+}
+
+// Guards against a compressed body that reaches a caller without the field that
+// says so.
+TEST_F(BrokenServerTest, TransferCodingsAreRefused) {
+  for (const char* head :
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nzip",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+        "3\r\nzip\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nzip\r\n0\r\n\r\n"}) {
+    SCOPED_TRACE(head);
+    StartAgainWith([head](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(head);
+    });
+    EXPECT_THAT(Exchange(kClosingPost), StartsWith("HTTP/1.1 502"));
+  }
+  EXPECT_EQ(FaultCount(ResponseFault::kTransferCoding), 3);
+}
+
+// Guards against a response whose head is that of two responses: the first
+// breaks off within a field.
+TEST_F(SigningServerTest, JoinedHeadsAreRefused) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write("HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signed: 1" +
+                     SignedResponse("one", "first"));
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(FaultCount(ResponseFault::kRepeatedField), 1);
+}
+
 // Guards against a connection that is kept after its server has left HTTP.
 TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
   StartWith([this](TestConnection& connection) {
