Let the transcript oracle follow broken chunks and missing ids

Trials showed two cases in which the oracle was wrong: the start of a response whose chunks break later is a legitimate incomplete answer, and without ids a late response can reach a request that its server has not even received.

--- a/tests/connection/response_parser.cc
+++ b/tests/connection/response_parser.cc
@@ -164,6 +164,7 @@
   if (!encodings.empty() &&
       (response.is_http_10 || !EqualsIgnoringCase(encodings[0], "chunked")))
     return State::kMalformed;
+  response.has_framing = true;
   if (is_head || response.status < 200 || response.status == 204 ||
       response.status == 304)
     return State::kComplete;
--- a/tests/connection/response_parser.h
+++ b/tests/connection/response_parser.h
@@ -21,6 +21,8 @@
   State state = State::kMalformed;
   /** True if the fields below up to `fields` are set. */
   bool has_head = false;
+  /** True if the head also says clearly where the body ends. */
+  bool has_framing = false;
   bool is_http_10 = false;
   int status = 0;
   std::vector<ResponseField> fields;
--- a/tests/connection/server_bytes_property_test.cc
+++ b/tests/connection/server_bytes_property_test.cc
@@ -41,5 +41,26 @@
   CheckScenario(*GenScenario(), Interface::kPlain);
 }
 
+// Guards against a property that holds because nothing is forwarded.
+TEST(ServerBytesTest, SoundResponsesAreForwarded) {
+  Scenario scenario;
+  for (const auto method :
+       {CallerRequest::Method::kGet, CallerRequest::Method::kPost,
+        CallerRequest::Method::kHead, CallerRequest::Method::kGet}) {
+    CallerRequest request;
+    request.method = method;
+    request.body_size = 3000;
+    scenario.requests.push_back(request);
+  }
+  scenario.requests.back().is_pipelined = true;
+  for (const Interface offered :
+       {Interface::kPlain, Interface::kWithIdsAndSignatures}) {
+    ScenarioPlayer player(scenario, offered, std::chrono::seconds(3));
+    const Transcript transcript = player.Play();
+    EXPECT_EQ(Join(FindViolations(transcript)), "");
+    EXPECT_EQ(ForwardedResponses(transcript), 4);
+  }
+}
+
 }  // namespace
 }  // namespace mangodoor
--- a/tests/connection/transcript_oracle_test.cc
+++ b/tests/connection/transcript_oracle_test.cc
@@ -81,6 +81,36 @@
   EXPECT_THAT(CallerReads(""), IsEmpty());
 }
 
+// Guards against an oracle that refuses the start of a response that is found
+// to be broken only later.
+TEST_F(TranscriptOracleTest, AcceptsStartOfResponseWithBrokenChunks) {
+  const std::string start =
+      "HTTP/1.1 200 Reason\r\nX-Id: r0\r\nX-Signed: 1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
+  Receive(0, start + "zz\r\n");
+  EXPECT_THAT(CallerReads(start), IsEmpty());
+  EXPECT_THAT(CallerReads(start + "0\r\n\r\n"),
+              Contains(HasSubstr("no server wrote")));
+}
+
+TEST_F(TranscriptOracleTest, NoticesResponseWithTwoLengths) {
+  const std::string head = "HTTP/1.1 200 Reason\r\nX-Id: r0\r\nX-Signed: 1\r\n";
+  Receive(0, head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc");
+  EXPECT_THAT(CallerReads(head + "Content-Length: 2\r\n\r\na"),
+              Contains(HasSubstr("no server wrote")));
+}
+
+// Guards against an oracle that accepts anything where responses have no ids.
+TEST_F(TranscriptOracleTest, NoticesPartsOfResponsesWithoutIds) {
+  transcript_.has_ids = false;
+  ReceiveBoth();
+  EXPECT_THAT(CallerReads(Response("r1", "second")), IsEmpty());
+  EXPECT_THAT(CallerReads(Response("r0", "secon")),
+              Contains(HasSubstr("no server wrote")));
+  EXPECT_THAT(CallerReads(StatedError("backend_refused", "not-run")),
+              Contains(HasSubstr("\"not run\"")));
+}
+
 TEST_F(TranscriptOracleTest, NoticesBodyOfOtherRequest) {
   ReceiveBoth();
   EXPECT_THAT(CallerReads(Response("r0", "second")),
