Answer 502 for a refusal that does not say 'not run'

The soak found it with a server that answers 503 after it has run a request: the 503 was forwarded, and callers of the platform take 408, 421, 429 and 503 for a promise that the request did not run. They would send an order again.

For a request that is not idempotent such a status now counts as broken unless the server states 'not run' by its field (or is another server than the expected one, which answers 421): the caller gets 502 with the outcome unknown, and the fault is unconfirmed_refusal. Idempotent requests get the server's response as before. Only interfaces whose callers read these statuses so have the rule.

RefusalThatDoesNotSayNotRunIsUnknown holds the rule for the four statuses.

--- a/src/connection/response_fault.cc
+++ b/src/connection/response_fault.cc
@@ -53,6 +53,8 @@
       return "not_signed";
     case ResponseFault::kMalformedBody:
       return "malformed_body";
+    case ResponseFault::kUnconfirmedRefusal:
+      return "unconfirmed_refusal";
   }
   return "";
 }
--- a/src/connection/response_fault.h
+++ b/src/connection/response_fault.h
@@ -35,10 +35,15 @@
   /** A successful response without the server's signature. */
   kNotSigned,
   kMalformedBody,
+  /**
+   * A status that tells callers that the request did not run, without the field
+   * by which a server states it.
+   */
+  kUnconfirmedRefusal,
 };
 
 constexpr size_t kResponseFaultCount =
-    static_cast<size_t>(ResponseFault::kMalformedBody) + 1;
+    static_cast<size_t>(ResponseFault::kUnconfirmedRefusal) + 1;
 
 /** Name of `fault` in logs and metrics. */
 const char* Name(ResponseFault fault);
--- a/src/request/http_profile.h
+++ b/src/request/http_profile.h
@@ -47,6 +47,11 @@
    * so that the request can be retried elsewhere if the response breaks off.
    */
   bool buffers_responses = false;
+  /**
+   * True if callers take the statuses 408, 421, 429 and 503 for a statement
+   * that the request did not run.
+   */
+  bool refusals_mean_not_run = false;
   /** True if Forwarded and Via are added to requests, and Via to responses. */
   bool adds_forwarding_fields = true;
   /** Status of the response to a key that belongs to no client account. */
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -34,6 +34,14 @@
   return {text.data(), text.size()};
 }
 
+/** True for the statuses that can mean that a request did not run. */
+bool IsRefusal(http::status status) {
+  return status == http::status::request_timeout ||
+         status == http::status::misdirected_request ||
+         status == http::status::too_many_requests ||
+         status == http::status::service_unavailable;
+}
+
 /** Appends a field, unless its name is empty because the interface lacks it. */
 void AppendField(std::string& out,
                  const std::string& name,
@@ -369,15 +377,9 @@
     RecordFault(*fault);
     return AttemptReport::End::kBadResponse;
   }
-  const ResponseHeader& header = response_->header;
-  if (!context_.http_profile.not_run.empty() &&
-      header[context_.http_profile.not_run] == "1")
+  if (StatesNotRun(response_->header))
     return AttemptReport::End::kRefusedByServer;
-  switch (header.result()) {
-    case http::status::misdirected_request:
-      return context_.http_profile.expected_server.empty()
-                 ? AttemptReport::End::kResponse
-                 : AttemptReport::End::kRefusedByServer;
+  switch (response_->header.result()) {
     case http::status::service_unavailable:
     case http::status::bad_gateway:
     case http::status::gateway_timeout:
@@ -400,9 +402,21 @@
   if (success && !http_profile.signature.empty() &&
       header.count(http_profile.signature) == 0)
     return ResponseFault::kNotSigned;
+  if (http_profile.refusals_mean_not_run && !request_.traits.idempotent &&
+      IsRefusal(header.result()) && !StatesNotRun(header))
+    return ResponseFault::kUnconfirmedRefusal;
   return std::nullopt;
 }
 
+/** True if the server states that it did not run the request. */
+bool BackendAttempt::StatesNotRun(const ResponseHeader& header) const {
+  const HttpProfile& http_profile = context_.http_profile;
+  if (!http_profile.not_run.empty() && header[http_profile.not_run] == "1")
+    return true;
+  return !http_profile.expected_server.empty() &&
+         header.result() == http::status::misdirected_request;
+}
+
 void BackendAttempt::RecordLoad() {
   const LoadMetrics load = context_.http_profile.parse_load(
       View(response_->header[context_.http_profile.load]));
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -96,6 +96,7 @@
   AttemptReport::End BufferBody(ServerResponse& response, YieldContext yield);
   AttemptReport::End ClassifyResponse();
   std::optional<ResponseFault> FaultOfResponse() const;
+  bool StatesNotRun(const ResponseHeader& header) const;
   void RecordFault(ResponseFault fault, const ServerResponse* response);
   bool IsResponseComplete();
   AttemptReport FinishReport(AttemptReport::End end);
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -428,6 +428,30 @@
   EXPECT_EQ(FaultCount(ResponseFault::kRepeatedField), 1);
 }
 
+// Guards against a status that promises "not run" for a request that its server
+// may have run.
+TEST_F(SigningServerTest, RefusalThatDoesNotSayNotRunIsUnknown) {
+  http_profile_.refusals_mean_not_run = true;
+  for (const char* status : {"408 A", "421 B", "429 C", "503 D"}) {
+    SCOPED_TRACE(status);
+    StartAgainWith([status](TestConnection& connection) {
+      for (const char* id : {"one", "two"}) {
+        connection.ReadMessage();
+        connection.Write(std::string("HTTP/1.1 ") + status + "\r\nX-Id: " + id +
+                         "\r\nContent-Length: 0\r\n\r\n");
+      }
+    });
+    TestConnection caller = Connect();
+    caller.Write(Request("one", "/open"));
+    EXPECT_THAT(caller.ReadMessage(), HasSubstr(status));
+    caller.Write(Post("two"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(StartsWith("HTTP/1.1 502"),
+                      HasSubstr("Mangodoor-Outcome: unknown")));
+  }
+  EXPECT_EQ(FaultCount(ResponseFault::kUnconfirmedRefusal), 4);
+}
+
 // Guards against a connection that is kept after its server has left HTTP.
 TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
   StartWith([this](TestConnection& connection) {
