Send leaders the members of their own data centre

Cause: an instance restarts, reaches only seeds in other data centres and stops again. These know its new incarnation; the hubs of its own data centre, which have to notice its silence, know only the old one, which they declare gone. That does not supersede the new incarnation. A leader sent the leader of another data centre only the hubs and the gone members there, so nobody corrected it.

Fix: between leaders, the updates cover both data centres and the hubs of all others. What the peer itself sent over the link is still left out, so a quiet fleet sends nothing, and the owner of the data centre decides who is gone.

Evidence: InstanceThatReachedOnlyOtherDataCentresIsRemoved and LeaderIsSentTheMembersOfItsDataCentre failed before this change and pass with it.

--- a/src/process/fleet/update_scope.cc
+++ b/src/process/fleet/update_scope.cc
@@ -21,10 +21,12 @@
     return false;
   if (scope == UpdateScope::kFleet)
     return true;
-  if (member.state == MemberState::kGone &&
-      member.data_centre == peer_data_centre)
-    return true;
-  return scope == UpdateScope::kDataCentre &&
+  // An instance may have reached only other data centres before it stopped. The
+  // hubs of its own one can notice its silence only if they are told of it.
+  if (member.data_centre == peer_data_centre)
+    return scope == UpdateScope::kBothDataCentres ||
+           member.state == MemberState::kGone;
+  return scope == UpdateScope::kBothDataCentres &&
          member.data_centre == member_list.self.data_centre;
 }
 
@@ -92,7 +94,7 @@
   // Only one of the two has to be a leader: a leader that cannot reach the
   // leader of another data centre links to the other hubs there.
   return both_hubs && (IsLeader(hubs, self) || IsLeader(hubs, peer))
-             ? UpdateScope::kDataCentre
+             ? UpdateScope::kBothDataCentres
              : UpdateScope::kPeerHubs;
 }
 
--- a/src/process/fleet/update_scope.h
+++ b/src/process/fleet/update_scope.h
@@ -15,10 +15,10 @@
   /** The hubs of the peer's own data centre, so that it can link to them. */
   kPeerHubs,
   /**
-   * Between hubs of two data centres, at least one of them a leader: this data
-   * centre, and the hubs of all others.
+   * Between hubs of two data centres, at least one of them a leader: both data
+   * centres, and the hubs of all others.
    */
-  kDataCentre,
+  kBothDataCentres,
   /** Between a hub and an instance of its data centre: all members. */
   kFleet,
 };
--- a/tests/members/member_updates_test.cc
+++ b/tests/members/member_updates_test.cc
@@ -72,6 +72,23 @@
   EXPECT_EQ(UpdatesToPeer(), std::vector{west_[3].id});
 }
 
+// Guards against a member that stops after it has reached only other data
+// centres: its own leader has to notice that, so it is told of the member. The
+// leader's own updates are not sent back to it.
+TEST_F(MemberUpdatesTest, LeaderIsSentTheMembersOfItsDataCentre) {
+  const InstanceId& leader = west_.front().id;
+  OpenLink(table_, leader, kNow);
+  TickFleet(table_, kNow);
+  Member restarted = west_[3];
+  restarted.incarnation = 2;
+  HandleMemberUpdate(table_, restarted.id, MemberUpdate{{restarted}}, kNow);
+  EXPECT_EQ(NamedTo(leader, TickFleet(table_, kNow)),
+            std::vector{restarted.id});
+  ++restarted.incarnation;
+  HandleMemberUpdate(table_, leader, MemberUpdate{{restarted}}, kNow);
+  EXPECT_TRUE(NamedTo(leader, TickFleet(table_, kNow)).empty());
+}
+
 // Guards against hubs that are sent again with each change of another member,
 // over the expensive paths between data centres.
 TEST_F(MemberUpdatesTest, HubsAreSentOnce) {
--- a/tests/members/membership_sim_test.cc
+++ b/tests/members/membership_sim_test.cc
@@ -109,6 +109,24 @@
   }
 }
 
+// Guards against a stopped instance that other data centres list for good: it
+// reached only seeds elsewhere before it stopped, so the hubs of its own data
+// centre, which have to notice its silence, do not know that it had restarted.
+TEST(MembershipSimTest, InstanceThatReachedOnlyOtherDataCentresIsRemoved) {
+  constexpr int kEach = 7;
+  for (int restarted = 1; restarted < kEach; ++restarted) {
+    FleetSim sim(3, kEach, 3);
+    StartAll(sim);
+    sim.RunFor(seconds(3));
+    sim.Kill(0);
+    sim.Start(restarted);
+    sim.RunFor(milliseconds(200));
+    sim.Kill(restarted);
+    sim.RunFor(kRemovalTime);
+    ExpectAllAgree(sim);
+  }
+}
+
 // Guards against a restarted instance that stays outside the fleet: all seeds
 // are down, so the running instances have to link to it.
 TEST(MembershipSimTest, RestartedInstanceIsFoundWithoutSeeds) {
