Log and count the entries of the store that are refused

Operators could not tell from logs which entry of another writer was refused: each of its heartbeats wrote a line for each fault, up to a thousand for a configuration, under two names of events, no metric counted them, and items without a usable key left no trace.

RegistryApplier now writes one line, entry_refused, with key, revision and reason when an entry is refused for the first time or for another reason, at most 20 a second, and counts each refusal in mangodoor_entries_refused_total. Items that were left out of a response of the store are logged and counted too.

Evidence: LogsARefusedEntryWhenItsReasonChanges and BoundsTheLinesOfRefusedEntries pass. They were not run on the code before, which lacks the interface.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -187,7 +187,12 @@
       actions_(peers_,
                [this](const ChosenServer& server) { prober_.Probe(server); }),
       store_(platform.open_store(pool_.context(), settings.fleet->store)),
-      applier_(tables_, clock_, actions_, settings.self, platform.decode),
+      applier_(tables_,
+               feed_,
+               clock_,
+               actions_,
+               settings.self,
+               platform.decode),
       transport_(pool_.context()),
       backends_(transport_, clock_, tables_.counters),
       prober_(pool_.context(),
@@ -505,6 +510,8 @@
     if (answer.kind != StoreAnswer::Kind::kItems) {
       Log(LogLevel::kWarning, "store_read_failed",
           {{"reason", answer.reason}, {"revision", FeedRevision(feed_)}});
+    } else if (!answer.reason.empty()) {
+      applier_.ReportUnreadable(answer.reason);
     }
     RunFeedActions(FinishStoreRead(feed_, CurrentTopology(), std::move(answer),
                                    clock_.Now()));
--- a/src/process/io/registry_applier.cc
+++ b/src/process/io/registry_applier.cc
@@ -4,20 +4,31 @@
 #include <utility>
 
 #include "process/io/log.h"
+#include "process/registry/feed.h"
 #include "process/tables.h"
 
 namespace mangodoor {
 
+namespace {
+
+constexpr int kRefusedLinesPerSecond = 20;
+constexpr size_t kMaxReasonLength = 400;
+
+}  // namespace
+
 RegistryApplier::RegistryApplier(Tables& tables,
+                                 Feed& feed,
                                  const Clock& clock,
                                  ActionRunner& actions,
                                  const Instance& self,
                                  ItemDecoder decode)
     : tables_(tables),
+      feed_(feed),
       clock_(clock),
       actions_(actions),
       self_(self),
-      decode_(std::move(decode)) {}
+      decode_(std::move(decode)),
+      refused_lines_(clock, kRefusedLinesPerSecond) {}
 
 namespace {
 
@@ -55,31 +66,37 @@
   // The lock is held during the whole call, so that batches are applied one by
   // one.
   OrderedLock lock(mutex_);
-  std::vector<ServerRecord> records;
-  std::vector<BackendServerId> removed_servers;
+  ServerChanges changes;
   // Decoding a version with a thousand routes takes milliseconds, and a burst
   // of changes contains many versions, of which only the latest matters.
   for (const StoreItem* latest : LatestItemPerKey(items)) {
-    const StoreItem& item = *latest;
-    if (!UpdateRevision(item))
-      continue;
-    const DecodedItem decoded = decode_(item, clock_.WallNow());
-    if (const auto* record = std::get_if<ServerRecord>(&decoded)) {
-      records.push_back(*record);
-    } else if (const auto* removed = std::get_if<RemovedServer>(&decoded)) {
-      removed_servers.push_back(removed->id);
-      LogFaults("server_record_unusable", item, removed->faults);
-    } else if (const auto* command = std::get_if<DataCentreCommand>(&decoded)) {
-      ApplyCommand(*command, item);
-    } else if (const auto* version = std::get_if<VersionPtr>(&decoded)) {
-      ApplyDocument(*version, item);
-    } else if (const auto* invalid = std::get_if<InvalidDocument>(&decoded)) {
-      LogFaults("document_rejected", item, invalid->faults);
-    }
+    if (UpdateRevision(*latest))
+      Decode(*latest, changes);
+  }
+  if (!changes.records.empty() || !changes.removed.empty())
+    actions_.Run(ApplyRecords(tables_.servers, changes.records, changes.removed,
+                              clock_.Now()));
+}
+
+void RegistryApplier::Decode(const StoreItem& item, ServerChanges& changes) {
+  const DecodedItem decoded = decode_(item, clock_.WallNow());
+  std::vector<Fault> faults;
+  if (const auto* record = std::get_if<ServerRecord>(&decoded)) {
+    changes.records.push_back(*record);
+  } else if (const auto* removed = std::get_if<RemovedServer>(&decoded)) {
+    changes.removed.push_back(removed->id);
+    faults = removed->faults;
+  } else if (const auto* command = std::get_if<DataCentreCommand>(&decoded)) {
+    ApplyCommand(*command, item);
+  } else if (const auto* version = std::get_if<VersionPtr>(&decoded)) {
+    ApplyDocument(*version, item);
+  } else if (const auto* invalid = std::get_if<InvalidDocument>(&decoded)) {
+    faults = invalid->faults;
   }
-  if (!records.empty() || !removed_servers.empty())
-    actions_.Run(
-        ApplyRecords(tables_.servers, records, removed_servers, clock_.Now()));
+  if (faults.empty())
+    refusals_.erase(item.key);
+  else
+    Refuse(item, faults);
 }
 
 void RegistryApplier::ApplyDocument(const VersionPtr& version,
@@ -111,15 +128,34 @@
                                 command.out, clock_.Now()));
 }
 
-void RegistryApplier::LogFaults(const char* event,
-                                const StoreItem& item,
-                                const std::vector<Fault>& faults) {
-  for (const Fault& fault : faults) {
-    Log(LogLevel::kWarning, event,
-        {{"key", item.key},
-         {"revision", item.revision},
-         {"fault", ToString(fault)}});
-  }
+// Another writer may write the same faulty item every second, so that it is
+// logged only when the reason changes.
+void RegistryApplier::Refuse(const StoreItem& item,
+                             const std::vector<Fault>& faults) {
+  ++feed_.entries_refused;
+  const std::string reason = ToString(faults).substr(0, kMaxReasonLength);
+  std::string& known_reason = refusals_[item.key];
+  if (known_reason == reason)
+    return;
+  known_reason = reason;
+  LogRefused(item, reason);
+}
+
+void RegistryApplier::ReportUnreadable(const std::string& reason) {
+  ++feed_.entries_refused;
+  LogRefused(StoreItem(), reason);
+}
+
+void RegistryApplier::LogRefused(const StoreItem& item,
+                                 const std::string& reason) {
+  const LineLimiter::Admission admission = refused_lines_.Admit();
+  if (!admission.admitted)
+    return;
+  Log(LogLevel::kWarning, "entry_refused",
+      {{"key", item.key},
+       {"revision", item.revision},
+       {"reason", reason},
+       {"lines_not_logged", admission.dropped}});
 }
 
 }  // namespace mangodoor
--- a/src/process/io/registry_applier.h
+++ b/src/process/io/registry_applier.h
@@ -7,18 +7,21 @@
 
 #include "process/clock.h"
 #include "process/io/action_runner.h"
+#include "process/io/line_limiter.h"
 #include "process/membership/membership.h"
 #include "process/ordered_mutex.h"
 #include "process/registry/decoded_item.h"
 
 namespace mangodoor {
 
+struct Feed;
 struct Tables;
 
 /** Applies changes of the platform's store to the tables. */
 class RegistryApplier {
  public:
   RegistryApplier(Tables& tables,
+                  Feed& feed,
                   const Clock& clock,
                   ActionRunner& actions,
                   const Instance& self,
@@ -30,7 +33,15 @@
    */
   void Apply(const std::vector<StoreItem>& items);
 
+  /** Logs and counts items that were read without a usable key. */
+  void ReportUnreadable(const std::string& reason);
+
  private:
+  struct ServerChanges {
+    std::vector<ServerRecord> records;
+    std::vector<BackendServerId> removed;
+  };
+
   /**
    * Records the item's revision. Returns false if a later change of its key has
    * been applied.
@@ -38,18 +49,24 @@
   bool UpdateRevision(const StoreItem& item);
   void ApplyDocument(const VersionPtr& version, const StoreItem& item);
   void ApplyCommand(const DataCentreCommand& command, const StoreItem& item);
-  void LogFaults(const char* event,
-                 const StoreItem& item,
-                 const std::vector<Fault>& faults);
+  /** Decodes the item, and applies it unless it is a server's. */
+  void Decode(const StoreItem& item, ServerChanges& changes);
+  /** Logs and counts an item that cannot be used. */
+  void Refuse(const StoreItem& item, const std::vector<Fault>& faults);
+  void LogRefused(const StoreItem& item, const std::string& reason);
 
   Tables& tables_;
+  Feed& feed_;
   const Clock& clock_;
   ActionRunner& actions_;
   const Instance& self_;
   const ItemDecoder decode_;
+  LineLimiter refused_lines_;
   OrderedMutex mutex_{LockRank::kFeedApply};
   /** Revision of the latest applied change of each key. */
   std::map<std::string, uint64_t> revisions_;
+  /** Why the item of a key cannot be used; only keys of such items. */
+  std::map<std::string, std::string> refusals_;
 };
 
 }  // namespace mangodoor
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -1,6 +1,7 @@
 #ifndef PROCESS_REGISTRY_FEED_H_
 #define PROCESS_REGISTRY_FEED_H_
 
+#include <atomic>
 #include <map>
 #include <vector>
 
@@ -44,6 +45,8 @@
    * unset while it is not behind.
    */
   std::optional<TimePoint> behind_since;
+  /** Items read that could not be used. Needs no lock. */
+  std::atomic<uint64_t> entries_refused{0};
 };
 
 /** An update to be sent to several instances. */
--- a/src/process/status/fleet_status.cc
+++ b/src/process/status/fleet_status.cc
@@ -43,6 +43,7 @@
   FleetStatus status;
   FillFromFleetTable(tables.fleet, now, status);
   FillFromFeed(tables.feed, now, status);
+  status.entries_refused = tables.feed.entries_refused;
   return status;
 }
 
--- a/src/process/status/fleet_status.h
+++ b/src/process/status/fleet_status.h
@@ -37,6 +37,8 @@
   std::optional<Duration> store_age;
   /** True if this instance reads the store itself. */
   bool reads_store = false;
+  /** Entries of the store that could not be used. */
+  uint64_t entries_refused = 0;
   /** Requests per second received by the whole fleet, as known here. */
   double requests_per_s = 0;
   /** The other instances, including those that are gone, sorted by id. */
--- a/src/process/status/io/metrics.cc
+++ b/src/process/status/io/metrics.cc
@@ -168,7 +168,13 @@
       .Set(reachable);
 }
 
-void AddFleetGauges(Registry& registry, const FleetStatus& fleet) {
+void AddFleetMetrics(Registry& registry, const FleetStatus& fleet) {
+  prometheus::BuildCounter()
+      .Name("mangodoor_entries_refused_total")
+      .Help("Entries read from the platform's store that could not be used.")
+      .Register(registry)
+      .Add({})
+      .Increment(static_cast<double>(fleet.entries_refused));
   std::map<std::pair<std::string, std::string>, int> count;
   for (const MemberStatus& status : fleet.members) {
     ++count[{status.member.data_centre.value(), Name(status.member.state)}];
@@ -255,7 +261,7 @@
   AddDurationHistograms(registry, counters);
   AddInstanceGauges(registry, status);
   if (status.fleet)
-    AddFleetGauges(registry, *status.fleet);
+    AddFleetMetrics(registry, *status.fleet);
   AddServerGauges(registry, status.servers);
   AddAccountMetrics(registry, status.accounts);
   return prometheus::TextSerializer().Serialize(registry.Collect());
--- a/src/process/status/io/status_codec.cc
+++ b/src/process/status/io/status_codec.cc
@@ -193,6 +193,7 @@
                {"store_revision", fleet.store_revision},
                {"store_age_ms", nullptr},
                {"reads_store", fleet.reads_store},
+               {"entries_refused", fleet.entries_refused},
                {"calls_per_s", fleet.requests_per_s},
                {"members", Json::array()}};
   if (fleet.store_age)
@@ -209,6 +210,7 @@
   if (!json.at("store_age_ms").is_null())
     fleet.store_age = MillisecondsAt(json, "store_age_ms");
   fleet.reads_store = json.at("reads_store");
+  fleet.entries_refused = json.at("entries_refused");
   fleet.requests_per_s = json.at("calls_per_s");
   for (const Json& member : json.at("members"))
     fleet.members.push_back(DecodeMember(member));
--- a/tests/operators/status_test.cc
+++ b/tests/operators/status_test.cc
@@ -54,6 +54,7 @@
   fleet.store_revision = 41;
   fleet.store_age = milliseconds(120);
   fleet.reads_store = true;
+  fleet.entries_refused = 7;
   fleet.requests_per_s = 87.5;
   MemberStatus member;
   member.member = {InstanceId("10.0.0.2:7101"),
@@ -82,6 +83,7 @@
   EXPECT_EQ(EncodeStatus(decoded), text);
   ASSERT_TRUE(decoded.fleet);
   EXPECT_EQ(decoded.fleet->store_age, milliseconds(120));
+  EXPECT_EQ(decoded.fleet->entries_refused, 7U);
   ASSERT_EQ(decoded.fleet->members.size(), 2U);
   EXPECT_EQ(decoded.fleet->members[0].member.state, MemberState::kLeaving);
   EXPECT_EQ(decoded.fleet->members[0].time_since_heard, milliseconds(30));
--- /dev/null
+++ b/tests/registry/registry_applier_test.cc
@@ -0,0 +1,90 @@
+#include "process/io/registry_applier.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "process/fake_clock.h"
+#include "process/io/log.h"
+#include "process/registry/feed.h"
+#include "process/tables.h"
+
+namespace mangodoor {
+namespace {
+
+class MockPeers : public PeerTransport {
+ public:
+  MOCK_METHOD(void, Send, (const InstanceId&, const PeerMessage&), (override));
+  MOCK_METHOD(std::vector<InstanceId>, ConnectedPeers, (), (const, override));
+};
+
+class RegistryApplierTest : public ::testing::Test {
+ protected:
+  RegistryApplierTest() { ConfigureLog(LogLevel::kWarning); }
+
+  static StoreItem Item(const std::string& key,
+                        const std::string& value,
+                        uint64_t revision) {
+    return {key, value, revision, false};
+  }
+
+  /** Applies the items one by one and returns the reasons that are logged. */
+  std::vector<std::string> ApplyAndLog(const std::vector<StoreItem>& items) {
+    ::testing::internal::CaptureStdout();
+    for (const StoreItem& item : items)
+      applier_.Apply({item});
+    std::istringstream out(::testing::internal::GetCapturedStdout());
+    std::vector<std::string> reasons;
+    for (std::string line; std::getline(out, line);) {
+      const auto json = nlohmann::json::parse(line);
+      EXPECT_EQ(json["event"], "entry_refused");
+      reasons.push_back(json["reason"]);
+    }
+    return reasons;
+  }
+
+  // An item whose value is not empty is refused for that reason.
+  static DecodedItem Decode(const StoreItem& item, WallTime) {
+    std::vector<Fault> faults;
+    if (!item.value.empty())
+      faults.push_back({"", "", item.value});
+    return RemovedServer{BackendServerId(item.key), faults};
+  }
+
+  FakeClock clock_;
+  ::testing::NiceMock<MockPeers> peers_;
+  Tables tables_;
+  Feed feed_;
+  Instance self_;
+  ActionRunner actions_{peers_, [](const ChosenServer&) {}};
+  RegistryApplier applier_{tables_, feed_, clock_, actions_, self_, Decode};
+};
+
+// Guards against a line for each of an entry's heartbeats, and against a reason
+// that is not logged because the entry was refused before.
+TEST_F(RegistryApplierTest, LogsARefusedEntryWhenItsReasonChanges) {
+  const std::string whole = "the whole text; allowed: ";
+  EXPECT_THAT(
+      ApplyAndLog({Item("a", "x", 1), Item("a", "x", 2), Item("a", "y", 3),
+                   Item("a", "", 4), Item("a", "y", 5), Item("b", "y", 6)}),
+      ::testing::ElementsAre(whole + "x", whole + "y", whole + "y",
+                             whole + "y"));
+  EXPECT_EQ(feed_.entries_refused, 5U);
+}
+
+// Guards against a log whose volume another writer decides.
+TEST_F(RegistryApplierTest, BoundsTheLinesOfRefusedEntries) {
+  std::vector<StoreItem> items;
+  for (uint64_t i = 1; i <= 100; ++i)
+    items.push_back(
+        Item("key" + std::to_string(i), std::string(10000, 'x'), i));
+  const std::vector<std::string> reasons = ApplyAndLog(items);
+  EXPECT_EQ(reasons.size(), 20U);
+  EXPECT_LE(reasons[0].size(), 400U);
+  EXPECT_EQ(feed_.entries_refused, 100U);
+}
+
+}  // namespace
+}  // namespace mangodoor
