--- a/tests/connection/server_bytes_gen.cc
+++ b/tests/connection/server_bytes_gen.cc
@@ -43,7 +43,7 @@
 }
 
 rc::Gen<Garbage> GenGarbage() {
-  return GenChoice<Garbage>({{150, Garbage::kNone},
+  return GenChoice<Garbage>({{300, Garbage::kNone},
                              {1, Garbage::kLine},
                              {1, Garbage::kBinary},
                              {1, Garbage::kNulBytes},
@@ -82,9 +82,9 @@
 }
 
 rc::Gen<BodyEnd> GenBodyEnd() {
-  return GenChoice<BodyEnd>({{60, BodyEnd::kLength},
-                             {40, BodyEnd::kChunked},
-                             {10, BodyEnd::kUntilClose},
+  return GenChoice<BodyEnd>({{120, BodyEnd::kLength},
+                             {80, BodyEnd::kChunked},
+                             {15, BodyEnd::kUntilClose},
                              {1, BodyEnd::kPaddedLength},
                              {1, BodyEnd::kSameLengthTwice},
                              {1, BodyEnd::kTwoLengths},
@@ -99,7 +99,7 @@
 }
 
 rc::Gen<ChunkForm> GenChunkForm() {
-  return GenChoice<ChunkForm>({{12, ChunkForm::kPlain},
+  return GenChoice<ChunkForm>({{24, ChunkForm::kPlain},
                                {2, ChunkForm::kExtension},
                                {2, ChunkForm::kTrailer},
                                {2, ChunkForm::kTrailerWithId},
@@ -113,7 +113,7 @@
 }
 
 rc::Gen<HeadForm> GenHeadForm() {
-  return GenChoice<HeadForm>({{100, HeadForm::kPlain},
+  return GenChoice<HeadForm>({{200, HeadForm::kPlain},
                               {1, HeadForm::kBareLineFeed},
                               {1, HeadForm::kNulByte},
                               {1, HeadForm::kFoldedLine},
@@ -139,7 +139,7 @@
 
 rc::Gen<int> GenCut() {
   return GenChoice<int>(
-      {{60, 0}, {2, 1}, {2, 2}, {2, 5}, {1, 12}, {1, 30}, {1, 100}});
+      {{120, 0}, {2, 1}, {2, 2}, {2, 5}, {1, 12}, {1, 30}, {1, 100}});
 }
 
 rc::Gen<ServerPiece> GenPiece() {
@@ -152,12 +152,12 @@
       rc::gen::set(&ServerPiece::chunks, GenChunkForm()),
       rc::gen::set(&ServerPiece::head, GenHeadForm()),
       rc::gen::set(&ServerPiece::body_size, GenBodySize()),
-      rc::gen::set(&ServerPiece::body_is_response, GenRarely(12)),
+      rc::gen::set(&ServerPiece::body_is_response, GenRarely(5)),
       rc::gen::set(&ServerPiece::is_signed,
-                   GenChoice<bool>({{15, true}, {1, false}})),
-      rc::gen::set(&ServerPiece::refuses, GenRarely(8)),
+                   GenChoice<bool>({{30, true}, {1, false}})),
+      rc::gen::set(&ServerPiece::refuses, GenRarely(12)),
       rc::gen::set(&ServerPiece::is_http_10, GenRarely(25)),
-      rc::gen::set(&ServerPiece::says_close, GenRarely(12)),
+      rc::gen::set(&ServerPiece::says_close, GenRarely(25)),
       rc::gen::set(&ServerPiece::has_forbidden_body, GenRarely(20)),
       rc::gen::set(&ServerPiece::cut, GenCut()));
 }
@@ -174,7 +174,7 @@
       rc::gen::set(&ServerTurn::pieces, GenList(4, GenPiece())),
       rc::gen::set(&ServerTurn::end,
                    GenChoice<End>(
-                       {{12, End::kKeep}, {5, End::kClose}, {2, End::kReset}})),
+                       {{24, End::kKeep}, {4, End::kClose}, {2, End::kReset}})),
       rc::gen::set(&ServerTurn::write_size,
                    GenChoice<int>({{8, 0}, {1, 1}, {1, 7}, {1, 150}})),
       rc::gen::set(&ServerTurn::before_body, GenRarely(8)));
--- a/tests/connection/transcript_oracle.cc
+++ b/tests/connection/transcript_oracle.cc
@@ -225,6 +225,8 @@
                   " that no server wrote for it, with " +
                   std::to_string(response.body.size()) +
                   " bytes: " + response.body.substr(0, 40));
+    if (!ValuesOf(response, "Mangodoor-Outcome").empty())
+      Add(id, "a server's response with an outcome of the instance");
     if (!transcript_.has_ids)
       return;
     if (ValuesOf(response, "X-Id") != std::vector<std::string>{id})
--- a/tests/connection/transcript_oracle_test.cc
+++ b/tests/connection/transcript_oracle_test.cc
@@ -221,6 +221,13 @@
   EXPECT_THAT(CallerReads(error), Contains(HasSubstr("without an outcome")));
 }
 
+TEST_F(TranscriptOracleTest, NoticesOutcomeOfServer) {
+  Receive(0, Response("r0", "first"));
+  std::string response = Response("r0", "first");
+  response.insert(response.find("\r\n") + 2, "Mangodoor-Outcome: not-run\r\n");
+  EXPECT_THAT(CallerReads(response), Contains(HasSubstr("with an outcome")));
+}
+
 TEST_F(TranscriptOracleTest, NoticesRequestThatRunsTwice) {
   Receive(0, Response("r0", "first"));
   Receive(0, Response("r0", "first"));
