--- a/src/process/servers/io/health_prober.cc
+++ b/src/process/servers/io/health_prober.cc
@@ -5,9 +5,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "version/io/json_text.h"
+
 namespace mangodoor {
 namespace {
 
@@ -37,25 +38,29 @@
   request.set(http::field::connection, "close");
   http::async_write(stream, request, yield);
   beast::flat_buffer buffer(kMaxHealthBytes);
-  http::response<http::string_body> response;
-  http::async_read(stream, buffer, response, yield);
-  if (response.result() != http::status::ok)
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxHealthBytes);
+  // Reads the header separately: Beast 1.74 loses the error of an exceeded body
+  // limit when bytes of the body arrive together with the header.
+  http::async_read_header(stream, buffer, parser, yield);
+  http::async_read(stream, buffer, parser, yield);
+  if (parser.get().result() != http::status::ok)
     return {};
-  return ParseHealth(response.body());
+  return ParseHealth(parser.get().body());
 }
 
 }  // namespace
 
 ProbeResult ParseHealth(const std::string& body) {
   ProbeResult result;
-  const auto json = nlohmann::json::parse(body, nullptr, false);
-  if (!json.is_object())
+  const auto json = ParseUntrustedJson(body);
+  if (!json || !json->is_object())
     return result;
-  const auto state = json.find("state");
-  if (state != json.end() && state->is_string())
+  const auto state = json->find("state");
+  if (state != json->end() && state->is_string())
     result.state = StateFromName(state->get<std::string>());
-  const auto in_flight = json.find("in_flight");
-  if (in_flight != json.end() && in_flight->is_number_integer())
+  const auto in_flight = json->find("in_flight");
+  if (in_flight != json->end() && in_flight->is_number_integer())
     result.in_flight = in_flight->get<int>();
   return result;
 }
