--- a/src/process/servers/io/load_prober.cc
+++ b/src/process/servers/io/load_prober.cc
@@ -38,12 +38,14 @@
  public:
   LoadProbe(asio::io_context& io,
             BackendConnectionPool& pool,
+            Counters& counters,
             const HttpProfile& http_profile,
             ChosenServer server,
             LoadProber::Done done)
       : strand_(asio::make_strand(io)),
         timer_(strand_),
         pool_(pool),
+        counters_(counters),
         http_profile_(http_profile),
         server_(std::move(server)),
         done_(std::move(done)) {}
@@ -101,7 +103,21 @@
         }));
   }
 
+  // Reads the header separately: Beast 1.74 loses the error of an exceeded body
+  // limit when bytes of the body arrive together with the header, and allocates
+  // the length that the header states.
   void Read() {
+    http::async_read_header(
+        *connection_->socket, connection_->buffer, parser_,
+        asio::bind_executor(strand_, [self = shared_from_this()](
+                                         const ErrorCode& error, size_t) {
+          if (error)
+            return self->End(false);
+          self->ReadBody();
+        }));
+  }
+
+  void ReadBody() {
     http::async_read(
         *connection_->socket, connection_->buffer, parser_,
         asio::bind_executor(strand_, [self = shared_from_this()](
@@ -114,6 +130,11 @@
 
   void HandleResponse() {
     const auto& response = parser_.get();
+    if (HasRequestId()) {
+      ++counters_.response_faults[static_cast<size_t>(
+          ResponseFault::kExtraResponse)];
+      return End(false);
+    }
     result_.answered = true;
     result_.healthy = response.result() == http::status::ok;
     result_.server_load =
@@ -131,6 +152,12 @@
     End(response.keep_alive());
   }
 
+  /** True for a response to a request: a probe has no id. */
+  bool HasRequestId() const {
+    return !http_profile_.request_id.empty() &&
+           !parser_.get()[http_profile_.request_id].empty();
+  }
+
   void HandleTimeout() {
     if (ended_)
       return;
@@ -154,6 +181,7 @@
   Strand strand_;
   StrandTimer timer_;
   BackendConnectionPool& pool_;
+  Counters& counters_;
   const HttpProfile& http_profile_;
   const ChosenServer server_;
   const LoadProber::Done done_;
@@ -180,7 +208,8 @@
 
 void LoadProber::Probe(const ChosenServer& server) {
   ++counters_.probes;
-  std::make_shared<LoadProbe>(io_, pool_, http_profile_, server, done_)
+  std::make_shared<LoadProbe>(io_, pool_, counters_, http_profile_, server,
+                              done_)
       ->Start();
 }
 
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -112,8 +112,8 @@
                                AttemptHistory& history,
                                const std::function<void()>& on_sent,
                                YieldContext yield) {
-  attempt_ =
-      std::make_shared<BackendAttempt>(context_, strand_, request_, server);
+  attempt_ = std::make_shared<BackendAttempt>(context_, strand_, request_,
+                                              server, response_faults_);
   if (interrupted_)
     attempt_->Abort(*interrupted_);
   ArmHedge(history);
@@ -141,6 +141,7 @@
   trace.waited = hedge ? Duration::zero() : server_wait_;
   trace.took = attempt.latency();
   trace.end = report.end;
+  trace.earlier_requests = attempt.earlier_requests();
   trace.status = attempt.status();
   traces_.push_back(std::move(trace));
 }
@@ -175,7 +176,7 @@
     return;
   ++context_.tables.counters.hedges;
   hedge_ = std::make_shared<BackendAttempt>(context_, strand_, request_,
-                                            reply.chosen);
+                                            reply.chosen, response_faults_);
   // JoinHedge and Abandon wait for the coroutine, so `this` outlives it.
   asio::spawn(strand_, [this](YieldContext yield) { RunHedge(yield); });
 }
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -9,6 +9,7 @@
 #include "process/tables.h"
 #include "request/header_scan.h"
 #include "request/load_metrics.h"
+#include "request/response_owner.h"
 
 namespace mangodoor {
 namespace {
@@ -17,6 +18,9 @@
 namespace http = boost::beast::http;
 
 constexpr size_t kReadSize = 16 * 1024;
+// More than any sound server sends, so that one that never stops is noticed
+// long before the deadline.
+constexpr int kMaxOtherResponses = 32;
 constexpr unsigned kStatusSwitchingProtocols = 101;
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kSuccessClass = 2;
@@ -26,6 +30,18 @@
   return {static_cast<const char*>(data.data()), data.size()};
 }
 
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/** True for the statuses that can mean that a request did not run. */
+bool IsRefusal(http::status status) {
+  return status == http::status::request_timeout ||
+         status == http::status::misdirected_request ||
+         status == http::status::too_many_requests ||
+         status == http::status::service_unavailable;
+}
+
 /** Appends a field, unless its name is empty because the interface lacks it. */
 void AppendField(std::string& out,
                  const std::string& name,
@@ -39,11 +55,13 @@
 BackendAttempt::BackendAttempt(const SessionContext& context,
                                Strand strand,
                                const OutgoingRequest& request,
-                               ChosenServer server)
+                               ChosenServer server,
+                               ResponseFaults& faults)
     : context_(context),
       strand_(std::move(strand)),
       request_(request),
       server_(std::move(server)),
+      faults_(faults),
       started_at_(context.clock.Now()) {}
 
 AttemptReport BackendAttempt::Run(const std::function<void()>& on_sent,
@@ -71,7 +89,16 @@
     connection_->socket->close(ignored);
 }
 
+// If a connection has carried a request with the same id, a late second
+// response to that one could not be told from the response to this one.
 bool BackendAttempt::Connect(YieldContext yield) {
+  while (OpenOrReuse(yield) && Find(connection_->sent, request_.id))
+    context_.pool.Discard(std::exchange(connection_, nullptr));
+  was_reused_ = connection_ && connection_->reused;
+  return connection_ != nullptr && !aborted_;
+}
+
+bool BackendAttempt::OpenOrReuse(YieldContext yield) {
   connection_ = context_.pool.TakeIdle(server_);
   if (!connection_) {
     connection_channel_ =
@@ -93,8 +120,7 @@
     }
     connection_channel_ = nullptr;
   }
-  was_reused_ = connection_ && connection_->reused;
-  return connection_ != nullptr && !aborted_;
+  return connection_ != nullptr;
 }
 
 // The wait for a connection, or a pause of the process, may have taken long, so
@@ -152,6 +178,8 @@
   message += "\r\n";
   message += request_.body;
   report_.bytes_sent = true;
+  earlier_requests_ = connection_->sent.requests.size();
+  Add(connection_->sent, request_.id, request_.is_head);
   return !Write(message, yield);
 }
 
@@ -173,6 +201,8 @@
 boost::system::error_code BackendAttempt::ReadSome(YieldContext yield) {
   boost::system::error_code error;
   auto& buffer = connection_->buffer;
+  if (buffer.max_size() - buffer.size() < kReadSize)
+    return http::error::buffer_overflow;
   const size_t size = connection_->socket->async_read_some(
       buffer.prepare(kReadSize), yield[error]);
   buffer.commit(size);
@@ -182,71 +212,125 @@
 }
 
 AttemptReport::End BackendAttempt::ReadResponseHead(YieldContext yield) {
-  for (;;) {
-    if (auto failed = ReadNextHead(yield))
-      return *failed;
-    const unsigned status = parser_->get().result_int();
-    if (status == kStatusSwitchingProtocols)
-      return AttemptReport::End::kBadResponse;
-    // Interim responses are not forwarded: this instance answers Expect itself.
-    if (status < kStatusOk)
-      continue;
-    header_ = std::move(parser_->get().base());
-    has_header_ = true;
-    if (IsResponseToThisRequest())
-      break;
-    if (!SkipResponseBody(yield))
+  for (int others = 0; !response_; ++others) {
+    if (others > kMaxOtherResponses) {
+      RecordFault(ResponseFault::kTooManyResponses);
       return AttemptReport::End::kBadResponse;
+    }
+    if (const auto failed = ReadNextResponse(yield))
+      return *failed;
   }
-  RecordLoad();
   const AttemptReport::End end = ClassifyResponse();
+  if (end != AttemptReport::End::kBadResponse)
+    RecordLoad();
   if (end != AttemptReport::End::kResponse ||
       !context_.http_profile.buffers_responses)
     return end;
-  return BufferBody(yield);
+  return BufferBody(*response_, yield);
 }
 
-/** False for a late second response to an earlier request. */
-bool BackendAttempt::IsResponseToThisRequest() const {
-  if (request_.id.empty())
-    return true;
-  const auto field = header_.find(context_.http_profile.request_id);
-  return field == header_.end() ||
-         std::string_view(field->value().data(), field->value().size()) ==
-             request_.id;
+/**
+ * Reads past an interim response or one to an earlier request, or reads the
+ * head of the response to this request.
+ */
+std::optional<AttemptReport::End> BackendAttempt::ReadNextResponse(
+    YieldContext yield) {
+  size_t size = 0;
+  if (const auto failed = ReadHead(size, yield))
+    return failed;
+  auto response = ParseHead(size, request_.is_head);
+  if (!response)
+    return AttemptReport::End::kBadResponse;
+  const unsigned status = response->header.result_int();
+  if (status == kStatusSwitchingProtocols) {
+    RecordFault(ResponseFault::kProtocolSwitched, response.get());
+    return AttemptReport::End::kBadResponse;
+  }
+  // The head of a response that breaks off in a field can run into the next.
+  if (RepeatsDecidingField(response->header, context_.http_profile)) {
+    RecordFault(ResponseFault::kRepeatedField, response.get());
+    return AttemptReport::End::kBadResponse;
+  }
+  const ResponseOwner owner =
+      OwnerOf(RequestIdOf(*response), {request_.id, request_.is_head},
+              connection_->sent);
+  if (owner.is_head != request_.is_head)
+    response = ParseHead(size, owner.is_head);
+  if (!response)
+    return AttemptReport::End::kBadResponse;
+  connection_->buffer.consume(size);
+  // Interim responses are not forwarded: this instance answers Expect itself.
+  if (status < kStatusOk)
+    return std::nullopt;
+  switch (owner.kind) {
+    case ResponseOwner::Kind::kThisRequest:
+      response_ = std::move(response);
+      return std::nullopt;
+    case ResponseOwner::Kind::kEarlierRequest:
+      RecordFault(ResponseFault::kExtraResponse, response.get());
+      return SkipBody(*response, yield);
+    case ResponseOwner::Kind::kNotStated:
+      RecordFault(ResponseFault::kNoRequestId, response.get());
+      break;
+    case ResponseOwner::Kind::kOtherRequest:
+      RecordFault(ResponseFault::kOtherRequestId, response.get());
+      break;
+  }
+  return AttemptReport::End::kBadResponse;
+}
+
+/** Id of the request that `response` belongs to; unset if it has none. */
+std::optional<std::string_view> BackendAttempt::RequestIdOf(
+    const ServerResponse& response) const {
+  const std::string& name = context_.http_profile.request_id;
+  const auto field =
+      name.empty() ? response.header.end() : response.header.find(name);
+  if (field == response.header.end() || field->value().empty())
+    return std::nullopt;
+  return View(field->value());
 }
 
 /**
- * Reads past the body of a response. False if the end of the body is unknown,
+ * Reads past the body of a response. Fails if the end of the body is unknown,
  * is not reached, or lies beyond kMaxBufferedBody.
  */
-bool BackendAttempt::SkipResponseBody(YieldContext yield) {
-  if (!parser_->content_length() && !parser_->chunked())
-    return false;
-  return BufferBody(yield) == AttemptReport::End::kResponse &&
-         parser_->is_done();
+std::optional<AttemptReport::End> BackendAttempt::SkipBody(
+    ServerResponse& response,
+    YieldContext yield) {
+  if (response.parser.need_eof() ||
+      BufferBody(response, yield) != AttemptReport::End::kResponse ||
+      !response.parser.is_done())
+    return AttemptReport::End::kBadResponse;
+  return std::nullopt;
 }
 
 /** Buffers the body until it is complete or the buffer is full. */
-AttemptReport::End BackendAttempt::BufferBody(YieldContext yield) {
-  buffered_body_.clear();
-  while (!parser_->is_done() && buffered_body_.size() < kMaxBufferedBody) {
-    if (DecodeBody(*parser_, connection_->buffer, buffered_body_,
-                   kMaxBufferedBody))
+AttemptReport::End BackendAttempt::BufferBody(ServerResponse& response,
+                                              YieldContext yield) {
+  ResponseParser& parser = response.parser;
+  std::string& body = response.buffered_body;
+  while (!parser.is_done() && body.size() < kMaxBufferedBody) {
+    if (DecodeBody(parser, connection_->buffer, body, kMaxBufferedBody)) {
+      RecordFault(ResponseFault::kMalformedBody, &response);
       return AttemptReport::End::kBadResponse;
-    if (parser_->is_done() || buffered_body_.size() >= kMaxBufferedBody)
+    }
+    if (parser.is_done() || body.size() >= kMaxBufferedBody)
       break;
     boost::system::error_code error = ReadSome(yield);
     if (error == asio::error::eof)
-      parser_->put_eof(error);
+      parser.put_eof(error);
     if (error)
       return AttemptReport::End::kConnectionLost;
   }
   return AttemptReport::End::kResponse;
 }
 
-std::optional<AttemptReport::End> BackendAttempt::ReadNextHead(
-    YieldContext yield) {
+/**
+ * Reads until the connection's buffer begins with the complete head of a
+ * response, which has `size` bytes.
+ */
+std::optional<AttemptReport::End> BackendAttempt::ReadHead(size_t& size,
+                                                           YieldContext yield) {
   auto& buffer = connection_->buffer;
   HeaderScan scan;
   ScanHeader(scan, BytesOf(buffer), kMaxResponseHeader);
@@ -255,31 +339,47 @@
       return AttemptReport::End::kConnectionLost;
     ScanHeader(scan, BytesOf(buffer), kMaxResponseHeader);
   }
-  if (scan.state != HeaderScan::State::kComplete)
-    return AttemptReport::End::kBadResponse;
-  parser_.emplace();
-  parser_->header_limit(kMaxResponseHeader);
-  parser_->body_limit(kNoBodyLimit);
-  parser_->skip(request_.is_head);
-  boost::system::error_code error;
-  parser_->put(asio::buffer(buffer.cdata(), scan.size), error);
-  buffer.consume(scan.size);
-  if (error || !parser_->is_header_done())
+  if (scan.state != HeaderScan::State::kComplete) {
+    RecordFault(scan.state == HeaderScan::State::kTooLarge
+                    ? ResponseFault::kHeadTooLarge
+                    : ResponseFault::kMalformedHead,
+                nullptr);
     return AttemptReport::End::kBadResponse;
+  }
+  size = scan.size;
   return std::nullopt;
 }
 
-AttemptReport::End BackendAttempt::ClassifyResponse() const {
-  if (IsBrokenResponse())
+/**
+ * Parses the head in the first `size` bytes of the connection's buffer. Null if
+ * it is malformed.
+ */
+std::unique_ptr<ServerResponse> BackendAttempt::ParseHead(
+    size_t size,
+    bool is_response_to_head) {
+  auto response = std::make_unique<ServerResponse>();
+  ResponseParser& parser = response->parser;
+  parser.header_limit(kMaxResponseHeader);
+  parser.body_limit(kNoBodyLimit);
+  parser.skip(is_response_to_head);
+  boost::system::error_code error;
+  parser.put(asio::buffer(connection_->buffer.cdata(), size), error);
+  if (error || !parser.is_header_done()) {
+    RecordFault(ResponseFault::kMalformedHead, nullptr);
+    return nullptr;
+  }
+  response->header = std::move(parser.get().base());
+  return response;
+}
+
+AttemptReport::End BackendAttempt::ClassifyResponse() {
+  if (const auto fault = FaultOfResponse()) {
+    RecordFault(*fault);
     return AttemptReport::End::kBadResponse;
-  if (!context_.http_profile.not_run.empty() &&
-      header_[context_.http_profile.not_run] == "1")
+  }
+  if (StatesNotRun(response_->header))
     return AttemptReport::End::kRefusedByServer;
-  switch (header_.result()) {
-    case http::status::misdirected_request:
-      return context_.http_profile.expected_server.empty()
-                 ? AttemptReport::End::kResponse
-                 : AttemptReport::End::kRefusedByServer;
+  switch (response_->header.result()) {
     case http::status::service_unavailable:
     case http::status::bad_gateway:
     case http::status::gateway_timeout:
@@ -289,24 +389,37 @@
   }
 }
 
-/**
- * True if the response counts as broken: it has a content encoding that the
- * profile rejects, or it is successful without the profile's signature field.
- */
-bool BackendAttempt::IsBrokenResponse() const {
+/** The reason why a well-formed response must not be forwarded, if any. */
+std::optional<ResponseFault> BackendAttempt::FaultOfResponse() const {
   const HttpProfile& http_profile = context_.http_profile;
+  const ResponseHeader& header = response_->header;
+  if (HasUnsupportedTransferCoding(header))
+    return ResponseFault::kTransferCoding;
   if (http_profile.rejects_encoded_responses &&
-      header_.count(http::field::content_encoding) > 0)
+      header.count(http::field::content_encoding) > 0)
+    return ResponseFault::kEncoded;
+  const bool success = header.result_int() / 100 == kSuccessClass;
+  if (success && !http_profile.signature.empty() &&
+      header.count(http_profile.signature) == 0)
+    return ResponseFault::kNotSigned;
+  if (http_profile.refusals_mean_not_run && !request_.traits.idempotent &&
+      IsRefusal(header.result()) && !StatesNotRun(header))
+    return ResponseFault::kUnconfirmedRefusal;
+  return std::nullopt;
+}
+
+/** True if the server states that it did not run the request. */
+bool BackendAttempt::StatesNotRun(const ResponseHeader& header) const {
+  const HttpProfile& http_profile = context_.http_profile;
+  if (!http_profile.not_run.empty() && header[http_profile.not_run] == "1")
     return true;
-  const bool success = header_.result_int() / 100 == kSuccessClass;
-  return success && !http_profile.signature.empty() &&
-         header_.count(http_profile.signature) == 0;
+  return !http_profile.expected_server.empty() &&
+         header.result() == http::status::misdirected_request;
 }
 
 void BackendAttempt::RecordLoad() {
-  const auto field = header_[context_.http_profile.load];
-  const LoadMetrics load =
-      context_.http_profile.parse_load({field.data(), field.size()});
+  const LoadMetrics load = context_.http_profile.parse_load(
+      View(response_->header[context_.http_profile.load]));
   result_.server_load = load.server_load;
   result_.reported_in_flight = load.in_flight;
   result_.reported_cold = load.cold;
@@ -319,14 +432,29 @@
   return report_;
 }
 
+void BackendAttempt::RecordFault(ResponseFault fault,
+                                 const ServerResponse* response) {
+  ++context_.tables.counters.response_faults[static_cast<size_t>(fault)];
+  ResponseFaultRecord record{server_.server, fault};
+  if (response) {
+    record.status = response->status();
+    record.response_id = std::string(RequestIdOf(*response).value_or(""));
+  }
+  Add(faults_, std::move(record));
+}
+
 // Not done in a destructor: when the program ends, coroutines are unwound after
 // the tables and the pool have been destroyed.
 void BackendAttempt::Finish(AttemptResult::End end, bool response_complete) {
   finished_ = true;
   if (connection_) {
     const bool keep =
-        !aborted_ && (response_complete ? parser_ && parser_->keep_alive()
-                                        : !report_.bytes_sent);
+        !aborted_ &&
+        (response_complete ? response_ && response_->parser.keep_alive()
+                           : !report_.bytes_sent);
+    if (keep && connection_->buffer.size() > 0)
+      RecordFault(ResponseFault::kBytesAfterResponse);
+    connection_->last_request_id = request_.id;
     if (keep)
       context_.pool.Return(std::move(connection_));
     else
@@ -340,16 +468,19 @@
 }
 
 void BackendAttempt::FinishUnused(const AttemptReport& report) {
-  // If an unused response is short and has arrived completely, its connection
-  // can be kept.
-  bool complete = false;
-  if (connection_ && parser_ && !aborted_) {
-    std::string unused;
-    complete =
-        !DecodeBody(*parser_, connection_->buffer, unused, kMaxBufferedBody) &&
-        parser_->is_done();
-  }
-  Finish(ResultOf(report, static_cast<int>(header_.result_int())), complete);
+  const bool complete = report.end != AttemptReport::End::kBadResponse &&
+                        !aborted_ && IsResponseComplete();
+  Finish(ResultOf(report, status()), complete);
+}
+
+/** True if the response to the request is short and has arrived completely. */
+bool BackendAttempt::IsResponseComplete() {
+  if (!response_)
+    return false;
+  std::string unused;
+  return !DecodeBody(response_->parser, connection_->buffer, unused,
+                     kMaxBufferedBody) &&
+         response_->parser.is_done();
 }
 
 }  // namespace mangodoor
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -197,6 +197,10 @@
       http_profile.key_field.empty() ? 0 : header.count(http_profile.key_field);
   if (header.count(field::authorization) + other_keys > 1)
     return ErrorKind::kMalformedRequest;
+  // Servers repeat one id, and it may be either.
+  if (!http_profile.request_id.empty() &&
+      header.count(http_profile.request_id) > 1)
+    return ErrorKind::kMalformedRequest;
   const size_t time_limits = header.count(http_profile.time_limit);
   if (time_limits > 1 ||
       (time_limits == 1 &&
@@ -218,6 +222,23 @@
                                         : View(header[http_profile.key_field]);
 }
 
+bool RepeatsDecidingField(const ResponseHeader& header,
+                          const HttpProfile& http_profile) {
+  const auto repeats = [&header](const std::string& name) {
+    return !name.empty() && header.count(name) > 1;
+  };
+  return repeats(http_profile.request_id) || repeats(http_profile.signature) ||
+         repeats(http_profile.not_run);
+}
+
+bool HasUnsupportedTransferCoding(const ResponseHeader& header) {
+  const size_t count = header.count(field::transfer_encoding);
+  if (count == 0)
+    return false;
+  return count > 1 || header.version() == kHttp10 ||
+         !beast::iequals(header[field::transfer_encoding], "chunked");
+}
+
 bool ExpectsContinue(const RequestHeader& header) {
   return beast::iequals(header[field::expect], "100-continue");
 }
--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -63,7 +63,7 @@
   if (!context_.request_log)
     return;
   trace_.id = request_.id;
-  trace_.caller = caller_.address;
+  trace_.caller = caller_.address + ":" + std::to_string(caller_.port);
   trace_.host = request_.host;
   trace_.service = request_.service;
   if (const Route* route = request_.authorisation.route)
@@ -77,6 +77,7 @@
   if (request_.target_at != TimePoint::max())
     trace_.target = request_.target_at - trace_.began;
   trace_.attempts = race_.traces();
+  trace_.response_faults = race_.response_faults();
   context_.request_log->Write(trace_);
 }
 
@@ -353,7 +354,7 @@
   if (!exchange_complete)
     attempt->Abort(AttemptReport::End::kCancelled);
   upload_.Stop(yield);
-  const auto status = static_cast<int>(attempt->header().result_int());
+  const int status = attempt->status();
   trace_.status = status;
   if (end == RelayEnd::kComplete) {
     ++context_.tables.counters.answered;
--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -1,6 +1,5 @@
-#include <fstream>
-
 #include "connection/data_path_fixture.h"
+#include "connection/resident_memory.h"
 
 namespace mangodoor {
 namespace {
@@ -10,23 +9,8 @@
 using testing::HasSubstr;
 using testing::Not;
 
-constexpr size_t kMiB = 1024 * 1024;
-
 class BodyTest : public DataPathTest {};
 
-size_t ResidentBytes() {
-  std::ifstream status("/proc/self/status");
-  std::string word;
-  while (status >> word) {
-    if (word == "VmRSS:") {
-      size_t kibibytes = 0;
-      status >> kibibytes;
-      return kibibytes * 1024;
-    }
-  }
-  return 0;
-}
-
 /** Echoes `total` bytes as they arrive. */
 void Echo(TestConnection& connection, size_t total) {
   connection.ReadHead();
@@ -115,9 +99,8 @@
 // Guards against reporting "not run" for a request whose body was partly sent
 // (docs/design.md 1.2, I7).
 TEST_F(BodyTest, MalformedChunkAfterStreamingHasUnknownOutcome) {
-  std::string seen;
-  StartWith([&seen](TestConnection& connection) {
-    seen = connection.ReadHead();
+  StartWith([](TestConnection& connection) {
+    connection.ReadHead();
     connection.ClosedByPeer();
   });
   TestConnection caller = Connect();
--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -208,6 +208,11 @@
            "\r\n\r\n";
   }
 
+  static std::string Post(const std::string& id) {
+    return "POST /open HTTP/1.1\r\nHost: a\r\nX-Id: " + id +
+           "\r\nContent-Length: 0\r\n\r\n";
+  }
+
   static std::string SignedResponse(const std::string& id,
                                     const std::string& body) {
     return "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: " + id +
@@ -233,6 +238,238 @@
   EXPECT_THAT(caller.ReadMessage(), EndsWith("second"));
 }
 
+// Guards against a response that begins with bytes of another one.
+TEST_F(SigningServerTest, UnavailableBehindExtraResponseHasItsOwnBody) {
+  for (const char* status : {"502 Bad", "503 Busy", "504 Late"}) {
+    SCOPED_TRACE(status);
+    StartAgainWith([status](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(SignedResponse("one", "first"));
+      connection.ReadMessage();
+      connection.Write(SignedResponse("one", "again") + "HTTP/1.1 " + status +
+                       "\r\nX-Id: two\r\nContent-Length: 5\r\n\r\nthird");
+      connection.ReadMessage();
+      connection.Write(SignedResponse("three", "last"));
+    });
+    TestConnection caller = Connect();
+    caller.Write(Request("one", "/open"));
+    EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+    caller.Write(Post("two"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(HasSubstr(status), EndsWith("\r\n\r\nthird")));
+    caller.Write(Request("three", "/open"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(StartsWith("HTTP/1.1 200"), EndsWith("last")));
+  }
+}
+
+// Guards against "not run" for a request that its server runs.
+TEST_F(SigningServerTest, RefusalWithoutIdIsNotTakenForThisRequest) {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  StartTwo([&refusal](TestConnection& connection) {
+    connection.Write(refusal + SignedResponse("one", "run"));
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(),
+              AllOf(StartsWith("HTTP/1.1 502"),
+                    HasSubstr("Mangodoor-Outcome: unknown")));
+  EXPECT_EQ(received_, 1);
+}
+
+// Guards against a response of unknown origin that reaches a caller.
+TEST_F(SigningServerTest, ResponseWithoutIdReachesNoCaller) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: 5\r\n\r\nother");
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(FaultCount(ResponseFault::kNoRequestId), 1);
+}
+
+// Guards against a response of which a skipped one has taken the first bytes,
+// because the skipped one belongs to a HEAD request and has no body.
+TEST_F(SigningServerTest, ExtraResponseToHeadHasNoBody) {
+  const std::string head_response =
+      "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Id: one\r\nContent-Length: 5\r\n"
+      "\r\n";
+  StartWith([&head_response](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(head_response);
+    connection.ReadMessage();
+    connection.Write(head_response + SignedResponse("two", "second"));
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write("HEAD /open HTTP/1.1\r\nHost: a\r\nX-Id: one\r\n\r\n");
+  EXPECT_THAT(caller.ReadHead(), StartsWith("HTTP/1.1 200"));
+  caller.Write(Post("two"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("second"));
+}
+
+// Guards against the body of a skipped response that is read as the next
+// response, because the running request is a HEAD request.
+TEST_F(SigningServerTest, ExtraResponseBeforeHeadHasBody) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(SignedResponse("one", "first"));
+    connection.ReadMessage();
+    connection.Write(SignedResponse("one", SignedResponse("two", "forged")) +
+                     SignedResponse("two", "second!"));
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Request("one", "/open"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+  caller.Write("HEAD /open HTTP/1.1\r\nHost: a\r\nX-Id: two\r\n\r\n");
+  EXPECT_THAT(caller.ReadHead(), HasSubstr("Content-Length: 7"));
+}
+
+// Guards against an earlier refusal that is taken for the response to a second
+// request with the same id.
+TEST_F(SigningServerTest, SameIdUsesAnotherConnection) {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nX-Id: one\r\nX-Not-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  StartWith([this, &refusal](TestConnection& connection) {
+    connection.ReadMessage();
+    if (++received_ == 1) {
+      connection.Write(refusal);
+      if (!connection.ReadMessage().empty())
+        connection.Write(refusal + SignedResponse("one", "run"));
+    } else {
+      connection.Write(SignedResponse("one", "run"));
+    }
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), HasSubstr("Outcome: not-run"));
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("run"));
+  EXPECT_EQ(server_->connections(), 2);
+}
+
+// Guards against a response whose end is unknown, since nothing tells whether
+// its request was a HEAD request.
+TEST_F(SigningServerTest, ResponseToUnknownRequestClosesConnection) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(SignedResponse("other", "alien") +
+                     SignedResponse("one", "first"));
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(FaultCount(ResponseFault::kOtherRequestId), 1);
+}
+
+// Guards against a request that waits until its deadline while its server
+// writes interim or extra responses without end.
+TEST_F(SigningServerTest, ResponsesWithoutEndAreCutOff) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nX-Id: two\r\n\r\n";
+  for (const std::string& endless : {interim, SignedResponse("one", "again")}) {
+    SCOPED_TRACE(endless);
+    StartAgainWith([endless](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(SignedResponse("one", "first"));
+      connection.ReadMessage();
+      while (connection.Write(endless)) {
+      }
+    });
+    TestConnection caller = Connect();
+    caller.Write(Post("one"));
+    EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+    caller.Write(Post("two"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(StartsWith("HTTP/1.1 502"),
+                      HasSubstr("Mangodoor-Outcome: unknown")));
+  }
+  EXPECT_EQ(FaultCount(ResponseFault::kTooManyResponses), 2);
+}
+
+// Guards against a compressed body that reaches a caller without the field that
+// says so.
+TEST_F(BrokenServerTest, TransferCodingsAreRefused) {
+  for (const char* head :
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nzip",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+        "3\r\nzip\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nzip\r\n0\r\n\r\n"}) {
+    SCOPED_TRACE(head);
+    StartAgainWith([head](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(head);
+    });
+    EXPECT_THAT(Exchange(kClosingPost), StartsWith("HTTP/1.1 502"));
+  }
+  EXPECT_EQ(FaultCount(ResponseFault::kTransferCoding), 3);
+}
+
+// Guards against a response whose head is that of two responses: the first
+// breaks off within a field.
+TEST_F(SigningServerTest, JoinedHeadsAreRefused) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write("HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Signed: 1" +
+                     SignedResponse("one", "first"));
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  EXPECT_EQ(FaultCount(ResponseFault::kRepeatedField), 1);
+}
+
+// Guards against a status that promises "not run" for a request that its server
+// may have run.
+TEST_F(SigningServerTest, RefusalThatDoesNotSayNotRunIsUnknown) {
+  http_profile_.refusals_mean_not_run = true;
+  for (const char* status : {"408 A", "421 B", "429 C", "503 D"}) {
+    SCOPED_TRACE(status);
+    StartAgainWith([status](TestConnection& connection) {
+      for (const char* id : {"one", "two"}) {
+        connection.ReadMessage();
+        connection.Write(std::string("HTTP/1.1 ") + status + "\r\nX-Id: " + id +
+                         "\r\nContent-Length: 0\r\n\r\n");
+      }
+    });
+    TestConnection caller = Connect();
+    caller.Write(Request("one", "/open"));
+    EXPECT_THAT(caller.ReadMessage(), HasSubstr(status));
+    caller.Write(Post("two"));
+    EXPECT_THAT(caller.ReadMessage(),
+                AllOf(StartsWith("HTTP/1.1 502"),
+                      HasSubstr("Mangodoor-Outcome: unknown")));
+  }
+  EXPECT_EQ(FaultCount(ResponseFault::kUnconfirmedRefusal), 4);
+}
+
+// Guards against a connection that is kept after its server has left HTTP.
+TEST_F(SigningServerTest, ProtocolSwitchClosesConnection) {
+  StartWith([this](TestConnection& connection) {
+    if (++received_ == 1) {
+      connection.ReadMessage();
+      connection.Write("HTTP/1.1 101 Switching\r\nX-Id: one\r\n\r\n");
+    }
+    connection.ReadMessage();
+    connection.Write(SignedResponse("two", "second"));
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), StartsWith("HTTP/1.1 502"));
+  caller.Write(Request("two", "/open"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("second"));
+  EXPECT_EQ(server_->connections(), 2);
+}
+
 // Guards against a broken response that reaches a caller although another
 // server could be tried, and against a successful response that is accepted
 // without the server's signature.
--- a/tests/connection/request_lines_test.cc
+++ b/tests/connection/request_lines_test.cc
@@ -1,4 +1,5 @@
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "connection/data_path_fixture.h"
 #include "process/io/log.h"
@@ -6,6 +7,7 @@
 namespace mangodoor {
 namespace {
 
+using testing::AllOf;
 using testing::HasSubstr;
 using testing::Not;
 
@@ -30,9 +32,18 @@
   RequestLog log_{clock_};
 };
 
-constexpr char kRequest[] =
-    "GET /open HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\n"
-    "Connection: close\r\n\r\n";
+constexpr std::chrono::milliseconds kPause{50};
+
+std::string RequestWithId(const std::string& id) {
+  return "GET /open HTTP/1.1\r\nHost: a\r\nX-Id: " + id +
+         "\r\nConnection: close\r\n\r\n";
+}
+
+std::string ErrorResponseTo(const std::string& id) {
+  return "HTTP/1.1 500 Error\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+const std::string kRequest = RequestWithId("r-1");
 
 // Guards against a request that is logged without its id because it failed
 // before the instance had its first configuration version.
@@ -56,5 +67,93 @@
   EXPECT_THAT(attempts, Not(HasSubstr("200")));
 }
 
+// Guards against a response to an earlier request that leaves no trace in the
+// log of the request that was running.
+TEST_F(RequestLinesTest, ExtraResponseIsLoggedWithItsId) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(ErrorResponseTo("r-0"));
+    connection.ReadMessage();
+    connection.Write(
+        ErrorResponseTo("r-0") +
+        "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok"
+        "more");
+  });
+  Exchange(RequestWithId("r-0"));
+  const auto line = LogLineOf(kRequest);
+  EXPECT_THAT(std::string(line["response_faults"]),
+              AllOf(HasSubstr("extra_response 500 of r-0"),
+                    HasSubstr("bytes_after_response 200 of r-1")));
+  EXPECT_THAT(std::string(line["attempts"]),
+              HasSubstr("after 1 requests on its connection"));
+  EXPECT_EQ(FaultCount(ResponseFault::kExtraResponse), 1);
+  EXPECT_EQ(FaultCount(ResponseFault::kBytesAfterResponse), 1);
+}
+
+// Guards against lines that do not tell which requests shared a connection of a
+// caller.
+TEST_F(RequestLinesTest, LinesOfOneConnectionHaveTheSameCaller) {
+  StartWith(RespondToAll("ok"));
+  http_profile_.request_id = "";
+  testing::internal::CaptureStdout();
+  {
+    TestConnection caller = Connect();
+    for (int i = 0; i < 2; ++i) {
+      caller.Write(kGet);
+      caller.ReadMessage();
+    }
+  }
+  Exchange(kRequest);
+  listener_.reset();
+  std::istringstream text(testing::internal::GetCapturedStdout());
+  std::vector<std::string> callers;
+  for (std::string line; std::getline(text, line);)
+    callers.push_back(nlohmann::json::parse(line)["caller"]);
+  ASSERT_EQ(callers.size(), 3);
+  EXPECT_EQ(callers[0], callers[1]);
+  EXPECT_NE(callers[0], callers[2]);
+}
+
+// Guards against a faulty server that fills the log.
+TEST_F(RequestLinesTest, FaultsOfOneRequestAreBounded) {
+  const std::string id(1000, 'r');
+  StartWith([&id](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(ErrorResponseTo(id));
+    connection.ReadMessage();
+    for (int i = 0; i < 20; ++i)
+      connection.Write(ErrorResponseTo(id));
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok");
+    connection.ReadMessage();
+  });
+  Exchange(RequestWithId(id));
+  const std::string faults = LogLineOf(kRequest)["response_faults"];
+  EXPECT_THAT(faults, HasSubstr("and 14 more"));
+  EXPECT_LT(faults.size(), 1024);
+}
+
+// Guards against bytes on an idle connection that leave no trace in the log.
+TEST_F(RequestLinesTest, BytesWhileIdleAreLoggedWithTheLastId) {
+  StartWith([](TestConnection& connection) {
+    if (connection.ReadMessage().empty())
+      return;
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok");
+    std::this_thread::sleep_for(kPause);
+    connection.Write("late");
+    connection.ReadMessage();
+  });
+  testing::internal::CaptureStdout();
+  Exchange(kRequest);
+  std::this_thread::sleep_for(2 * kPause);
+  Exchange(kRequest);
+  const std::string text = testing::internal::GetCapturedStdout();
+  EXPECT_THAT(text, HasSubstr("\"backend_connection_closed\""));
+  EXPECT_THAT(text, HasSubstr("\"fault\":\"bytes_while_idle\""));
+  EXPECT_THAT(text, HasSubstr("\"last_id\":\"r-1\""));
+  EXPECT_EQ(FaultCount(ResponseFault::kBytesWhileIdle), 1);
+}
+
 }  // namespace
 }  // namespace mangodoor
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -72,6 +72,9 @@
   int instances() const { return plan_.instances; }
   int servers() const { return plan_.zones * plan_.servers_per_zone; }
   int zone_of_server(int index) const { return index % plan_.zones; }
+  static std::string ServerId(int index) {
+    return "i-" + std::to_string(index);
+  }
 
   bool IsReady(int index) const;
   bool WaitUntilReady(std::chrono::milliseconds timeout);
@@ -99,6 +102,8 @@
   /** Looks up addresses in an instance's directory; empty if this fails. */
   std::vector<Endpoint> Lookup(int index) const;
   Endpoint caller_endpoint(int index) const;
+  /** Address of a server, behind its relay if there is one. */
+  Endpoint server_address(int index) const;
   /**
    * Returns where to connect for an address from Lookup: the relay in front of
    * the address, or the address itself if there is no relay.
@@ -118,13 +123,16 @@
   /** Number of runs of each request over all servers, by request id. */
   std::map<std::string, int> Runs() const;
   std::string LogOf(int index) const;
+  /** File in which a server, also after restarts, records what it ran. */
+  std::string RunLogPath(int server) const;
+  /** Sends the body of /standin/faults to a server. False if it failed. */
+  bool SetServerFaults(int server, const std::string& mode) const;
   /** The status that an instance reports on its admin address. */
   InstanceStatus StatusOf(int index) const;
 
  private:
   static size_t Index(int index) { return static_cast<size_t>(index); }
   std::string Host(int group, int index) const;
-  Endpoint server_address(int index) const;
   Endpoint announced_address(int index) const;
   Endpoint store_address(int instance) const;
   void StartRelays();
