Bound the size of the entries that instances exchange

Large entries of another writer, such as a megabyte of brackets, kept every instance but the readers of the store from following any change: the update with all items was longer than the 2 MiB that a message may have, and was dropped each time ("peer_message_not_sent").

Cause: instances passed all items on as they came. An item of the store of more than 4096 bytes now has an empty value, so that it is refused like one that cannot be read. The configuration may have any size, as before.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -461,6 +461,22 @@
   }
 }
 
+// Guards against entries of another writer that make messages with all items
+// longer than other instances accept.
+TEST(StoreAnswerTest, BoundsTheSizeOfEntries) {
+  std::string value;
+  for (int i = 0; i < 2000; ++i)
+    value += "YWFh";
+  for (const auto& [key, size] :
+       {std::pair<const char*, size_t>{"servers/b", 0}, {"op/config", 6000}}) {
+    const StoreAnswer answer =
+        DecodeWith(std::string(R"({"Key":")") + key +
+                   R"(","Revision":412,"Value":")" + value + "\"}");
+    ASSERT_EQ(answer.items.size(), 3U);
+    EXPECT_EQ(answer.items[1].value.size(), size);
+  }
+}
+
 // Guards against an item without a usable key that keeps the others from being
 // read: peers refuse a message with a key that is too long.
 TEST(StoreAnswerTest, ReadsOtherItemsBesideOneWithoutUsableKey) {
