--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -461,6 +461,18 @@
   }
 }
 
+// Guards against an item without a revision that hides a later change of its
+// key in the same response.
+TEST(StoreAnswerTest, KeepsTheLaterChangeOfAKey) {
+  const StoreAnswer answer = DecodeWith(
+      R"({"Key":"servers/b"},{"Key":"servers/b","Value":"YQ==","Revision":412})");
+  ASSERT_EQ(answer.items.size(), 3U);
+  EXPECT_EQ(answer.items[1].key, "servers/b");
+  EXPECT_EQ(answer.items[1].value, "a");
+  EXPECT_EQ(answer.items[1].revision, 412U);
+  EXPECT_EQ(answer.reason, "");
+}
+
 // Guards against entries of another writer that make messages with all items
 // longer than other instances accept.
 TEST(StoreAnswerTest, BoundsTheSizeOfEntries) {
