--- a/tests/process/endless_server.h
+++ b/tests/process/endless_server.h
@@ -39,6 +39,28 @@
           {"trailer fields", chunked + "0\r\n", "X: a\r\n"}};
 }
 
+constexpr size_t kBlockBytes = 64 * 1024;
+/** Ends a test in which the peer reads on. */
+constexpr size_t kMaxWrittenBytes = 256 * 1024 * 1024;
+
+/**
+ * Writes until the peer closes the connection, `stopping` is set or
+ * kMaxWrittenBytes are written. Adds the bytes to `written` meanwhile.
+ */
+inline void WriteEndless(boost::asio::ip::tcp::socket& socket,
+                         const EndlessResponse& message,
+                         const std::atomic<bool>& stopping,
+                         std::atomic<size_t>& written) {
+  std::string block = message.begin;
+  boost::system::error_code error;
+  while (!error && !stopping && written < kMaxWrittenBytes) {
+    while (block.size() < kBlockBytes)
+      block += message.repeated;
+    written += boost::asio::write(socket, boost::asio::buffer(block), error);
+    block.clear();
+  }
+}
+
 /**
  * Answers the first connection with an endless response, until the peer closes
  * it, and later ones with `response`.
@@ -68,10 +90,6 @@
   size_t bytes_sent() const { return bytes_sent_; }
 
  private:
-  static constexpr size_t kBlockBytes = 64 * 1024;
-  /** Ends a test in which the peer reads on. */
-  static constexpr size_t kMaxBytes = 256 * 1024 * 1024;
-
   void Run() {
     for (bool first = true; !stopping_; first = false) {
       boost::system::error_code error;
@@ -83,24 +101,12 @@
       if (error)
         continue;
       if (first)
-        SendEndless(socket);
+        WriteEndless(socket, endless_, stopping_, bytes_sent_);
       else
         boost::asio::write(socket, boost::asio::buffer(response_), error);
     }
   }
 
-  void SendEndless(boost::asio::ip::tcp::socket& socket) {
-    std::string block = endless_.begin;
-    boost::system::error_code error;
-    while (!error && !stopping_ && bytes_sent_ < kMaxBytes) {
-      while (block.size() < kBlockBytes)
-        block += endless_.repeated;
-      bytes_sent_ +=
-          boost::asio::write(socket, boost::asio::buffer(block), error);
-      block.clear();
-    }
-  }
-
   const EndlessResponse endless_;
   const std::string response_;
   std::atomic<bool> stopping_{false};
