--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -217,6 +217,12 @@
            {method, "/standin/item?key=" + key, {}, value});
 }
 
+void PlatformFleet::PutItemText(const std::string& key,
+                                const std::string& text) const {
+  CallOnce({Host(kStoreGroup, 0), kStorePort},
+           {"PUT", "/standin/text?key=" + key, {}, text});
+}
+
 void PlatformFleet::Publish() {
   ++version;
   const auto route = [](const std::string& prefix, const char* kind) {
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -88,6 +88,12 @@
   std::string extra_prefix;
 
   void Evacuate(int zone, bool out);
+  /** Writes an item of the store as another writer would. */
+  void PutItem(const std::string& key, const std::string& value) const {
+    WriteStoreItem("PUT", key, value);
+  }
+  /** Makes the store send `text` in place of the item with this key. */
+  void PutItemText(const std::string& key, const std::string& text) const;
   void SetStoreMode(const std::string& mode);
   void CompactStore();
   /**
--- a/tests/platform_fleet/platform_fleet_test.cc
+++ b/tests/platform_fleet/platform_fleet_test.cc
@@ -284,5 +284,93 @@
   }
 }
 
+/** Entries by another writer under keys of servers. */
+void PutOddEntries(const PlatformFleet& fleet) {
+  constexpr size_t kDeep = 200000;
+  const std::string nested = std::string(kDeep, '[') + std::string(kDeep, ']');
+  const auto entry = [](const std::string& address, const std::string& slots) {
+    return R"({"Address":)" + address +
+           R"(,"Details":{"Service":"work","Version":"v1","Zone":"zone-0",)" +
+           R"("Slots":)" + slots + R"(},"Status":{"State":"ready",)" +
+           R"("Sequence":1,"ColdRemainingMs":0},"born":1})";
+  };
+  int number = 0;
+  for (const std::string& value :
+       {entry(nested, "2"), entry("\"127.0.0.1:80\"", nested),
+        entry("\"127.0.0.1:80\"", "1e400"), entry("\"127.0.0.1:0\"", "2"),
+        entry("\"127.0.0.1:65536\"", "2"), entry("\"999.1.1.1:80\"", "2"),
+        entry("\"[]:80\"", "2"), nested, std::string(1000000, '['),
+        std::string("\xff\xfe"), std::string()})
+    fleet.PutItem("servers/odd-" + std::to_string(number++), value);
+  // More than a page of keys that have to be escaped in a request.
+  constexpr int kStrangeKeys = 120;
+  for (int i = 0; i < kStrangeKeys; ++i)
+    fleet.PutItem("servers/a%20b%26c%25" + std::to_string(i), "{}");
+  fleet.PutItem("servers/" + std::string(250, 'k'), "{}");
+  fleet.PutItemText("servers/t0", "7");
+  fleet.PutItemText("servers/t1", nested);
+  fleet.PutItemText("servers/t2", R"({"Key":"servers/t2","Revision":1e400})");
+  fleet.PutItemText("servers/t3", "{\"Key\":\"servers/\xff\",\"Revision\":9}");
+  fleet.PutItemText(
+      "servers/t4",
+      R"({"Key":"servers/t4","Revision":9,"Value":"not base64"})");
+}
+
+bool AllServe(const PlatformFleet& fleet, const std::string& path) {
+  for (int i = 0; i < fleet.instances(); ++i) {
+    if (fleet.Call(fleet.caller_endpoint(i), "a", "GET", path).status != 200)
+      return false;
+  }
+  return true;
+}
+
+// Guards against entries of another writer that end the instances or keep them
+// from following the store, and against a server that stays unused after its
+// entry has become valid again.
+TEST(PlatformFleetTest, OddEntriesOfAnotherWriterHarmNothing) {
+  PlatformFleet fleet({});
+  ASSERT_TRUE(fleet.WaitUntilReady(kStartLimit));
+  PlatformCallers callers(fleet, 4, "GET");
+  PutOddEntries(fleet);
+  fleet.extra_prefix = "/first/";
+  fleet.Publish();
+  EXPECT_TRUE(
+      WaitFor([&] { return AllServe(fleet, "/first/x"); }, kStartLimit));
+  // All instances read the whole store again.
+  fleet.CompactStore();
+  fleet.extra_prefix = "/second/";
+  fleet.Publish();
+  EXPECT_TRUE(
+      WaitFor([&] { return AllServe(fleet, "/second/x"); }, kStartLimit));
+  // The server writes its own entry again at its next heartbeat.
+  fleet.PutItem("servers/i-0", std::string(200000, '['));
+  fleet.PutItemText("servers/i-1", "{\"Key\":\"servers/i-1\",\"Value\":1e400}");
+  const auto runs = [&fleet](int server) {
+    const nlohmann::json counters = fleet.ServerCounters(server);
+    int count = 0;
+    for (const auto& [id, runs_of_id] : counters["runs"].items())
+      count += runs_of_id.get<int>();
+    return count;
+  };
+  std::this_thread::sleep_for(seconds(2));
+  const int before_0 = runs(0);
+  const int before_1 = runs(1);
+  // Requests to all instances, since each prefers the servers of its own zone.
+  EXPECT_TRUE(WaitFor(
+      [&] {
+        return AllServe(fleet, "/second/x") && runs(0) > before_0 &&
+               runs(1) > before_1;
+      },
+      kStartLimit));
+  const LoadCounts counts = callers.Stop();
+  EXPECT_GT(counts.answered, 100);
+  EXPECT_THAT(counts.failures, IsEmpty());
+  for (int i = 0; i < fleet.instances(); ++i) {
+    EXPECT_FALSE(fleet.instance(i).WaitForExit(milliseconds(0)));
+    EXPECT_GT(fleet.StatusOf(i).fleet->entries_refused, 100U);
+    EXPECT_THAT(fleet.LogOf(i), HasSubstr("entry_refused"));
+  }
+}
+
 }  // namespace
 }  // namespace mangodoor
