--- a/tests/connection/endless_bytes_test.cc
+++ b/tests/connection/endless_bytes_test.cc
@@ -156,7 +156,7 @@
   std::vector<std::unique_ptr<FakeServer>> fake_servers_;
 };
 
-const char kChunkedHead[] =
+constexpr char kChunkedHead[] =
     "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 class EndlessResponseTest : public EndlessBytesTest,
@@ -234,7 +234,7 @@
   ExpectNothingLeft();
 }
 
-const char kExtraHead[] = "HTTP/1.1 200 OK\r\nX-Id: a\r\n";
+constexpr char kExtraHead[] = "HTTP/1.1 200 OK\r\nX-Id: a\r\n";
 
 INSTANTIATE_TEST_SUITE_P(
     Responses,
@@ -371,7 +371,7 @@
   ExpectNothingLeft();
 }
 
-const char kChunkedPost[] =
+constexpr char kChunkedPost[] =
     "POST /open HTTP/1.1\r\nHost: a\r\nX-Id: a\r\n"
     "Transfer-Encoding: chunked\r\n\r\n";
 
--- a/tests/connection/server_bytes.cc
+++ b/tests/connection/server_bytes.cc
@@ -101,8 +101,8 @@
 }
 
 std::string ChunkedBody(const std::string& body, ChunkForm form) {
-  const std::string chunks = Chunk(body.substr(0, body.size() / 2), form) +
-                             Chunk(body.substr(body.size() / 2), form);
+  std::string chunks = Chunk(body.substr(0, body.size() / 2), form) +
+                       Chunk(body.substr(body.size() / 2), form);
   switch (form) {
     case ChunkForm::kNoLastChunk:
       return chunks;
