Check a returned connection before it is handed to a waiter

A connection that is taken from the idle ones is checked for bytes that arrived meanwhile; one that was handed to a waiting request was not, so under load an extra response reached the next request.

Evidence: ReturnedConnectionWithBytesReachesNoWaiter failed before: the waiter got the connection with the bytes.

--- a/src/connection/io/backend_connection_pool.cc
+++ b/src/connection/io/backend_connection_pool.cc
@@ -17,7 +17,6 @@
 constexpr std::chrono::seconds kMinIdleBeforeCheck{1};
 
 constexpr int kFaultLinesPerSecond = 10;
-constexpr size_t kMaxLoggedId = 64;
 
 struct ConnectionWaiter {
   uint64_t ticket = 0;
@@ -78,6 +77,8 @@
 
   bool IsReusable(BackendConnection& connection);
   void PutBack(BackendConnectionPtr connection);
+  bool HasWaiter(const Endpoint& endpoint);
+  void Drop(BackendConnection& connection);
   int ReserveOpens(ServerConnections& connections);
   void StartOpens(const Endpoint& endpoint, int count);
   void FinishOpen(const Endpoint& endpoint,
@@ -159,8 +160,11 @@
   StartOpens(endpoint, opens);
 }
 
-// Hands the connection to the first waiter, or keeps it idle.
+// Hands the connection to the first waiter, or keeps it idle. An idle one is
+// checked when it is taken.
 void BackendConnectionPool::State::PutBack(BackendConnectionPtr connection) {
+  if (HasWaiter(connection->endpoint) && !IsReusable(*connection))
+    return Drop(*connection);
   ConnectionWaiter waiter;
   {
     OrderedLock lock(mutex);
@@ -176,6 +180,24 @@
   waiter.ready({}, std::move(connection));
 }
 
+bool BackendConnectionPool::State::HasWaiter(const Endpoint& endpoint) {
+  OrderedLock lock(mutex);
+  return !servers[endpoint].waiters.empty();
+}
+
+// Closes the connection and makes room for another one.
+void BackendConnectionPool::State::Drop(BackendConnection& connection) {
+  Close(connection);
+  int opens = 0;
+  {
+    OrderedLock lock(mutex);
+    ServerConnections& connections = servers[connection.endpoint];
+    --connections.total;
+    opens = ReserveOpens(connections);
+  }
+  StartOpens(connection.endpoint, opens);
+}
+
 BackendConnectionPool::BackendConnectionPool(BackendTransport& transport,
                                              const Clock& clock,
                                              Counters& counters,
@@ -236,27 +258,18 @@
 }
 
 void BackendConnectionPool::Return(BackendConnectionPtr connection) {
-  if (connection->buffer.size() > 0 || IsFull(connection->sent)) {
-    // Bytes after a complete response belong to no request, and the next
-    // request could take them for its response.
-    Discard(std::move(connection));
-    return;
-  }
+  // Bytes after a complete response belong to no request, and the next request
+  // could take them for its response.
+  const bool has_unread_bytes = connection->buffer.size() > 0;
+  if (has_unread_bytes || IsFull(connection->sent))
+    return Discard(std::move(connection));
   connection->reused = true;
   connection->idle_since = state_->clock.Now();
   state_->PutBack(std::move(connection));
 }
 
 void BackendConnectionPool::Discard(BackendConnectionPtr connection) {
-  Close(*connection);
-  int opens = 0;
-  {
-    OrderedLock lock(state_->mutex);
-    ServerConnections& connections = state_->servers[connection->endpoint];
-    --connections.total;
-    opens = state_->ReserveOpens(connections);
-  }
-  state_->StartOpens(connection->endpoint, opens);
+  state_->Drop(*connection);
 }
 
 void BackendConnectionPool::CloseIdle(TimePoint now) {
--- a/src/connection/response_fault.cc
+++ b/src/connection/response_fault.cc
@@ -9,7 +9,6 @@
 // A server can send any number of faulty responses and ids of any length, but
 // a log line must stay below 4 KiB.
 constexpr size_t kMaxRecords = 6;
-constexpr size_t kMaxLoggedId = 64;
 
 void AppendRecord(std::string& text, const ResponseFaultRecord& record) {
   if (!text.empty())
--- a/src/connection/response_fault.h
+++ b/src/connection/response_fault.h
@@ -9,9 +9,12 @@
 
 namespace mangodoor {
 
+/** Number of characters of a request id that are logged. */
+constexpr size_t kMaxLoggedId = 64;
+
 /** What was wrong with the bytes that a backend server sent. */
 enum class ResponseFault {
-  /** A response to an earlier request of the connection; it is skipped. */
+  /** A response to an earlier request of the connection. */
   kExtraResponse,
   /** A response without the request id that the interface requires. */
   kNoRequestId,
--- a/tests/connection/backend_connection_pool_test.cc
+++ b/tests/connection/backend_connection_pool_test.cc
@@ -123,6 +123,23 @@
   EXPECT_FALSE(socket.is_open());
 }
 
+// Guards against a late response that a waiting request takes for its own.
+TEST_F(BackendConnectionPoolTest, ReturnedConnectionWithBytesReachesNoWaiter) {
+  chosen_.connection_limit = 1;
+  Open();
+  CompleteConnect();
+  Open();
+  BackendSocket& socket = *ready_[0]->socket;
+  boost::asio::write(socket, boost::asio::buffer("x\r\n\r\n", 5));
+  socket.wait(tcp::socket::wait_read);
+  pool_.Return(ready_[0]);
+  EXPECT_FALSE(socket.is_open());
+  ASSERT_EQ(pending_connects_.size(), 1);
+  CompleteConnect();
+  ASSERT_EQ(ready_.size(), 2);
+  EXPECT_FALSE(ready_[1]->reused);
+}
+
 // Guards against idle connections that use up a server's limit.
 TEST_F(BackendConnectionPoolTest, OldIdleConnectionsAreClosed) {
   Open();
