Forward the id and the signature whatever Connection lists

A server that lists its signature in Connection made the instance check the field and then drop it: the caller got a success without a signature. A caller that lists the request id got 502, since the server never saw the id.

Evidence: DecidingFieldsAreForwardedDespiteConnectionField got neither field before.

--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -89,7 +89,11 @@
   if (IsHopByHop(entry.name()) || IsKeyField(entry, http_profile) ||
       IsOwnField(entry, http_profile))
     return false;
+  // Fields on which the receiver relies are not hop-by-hop, whatever the sender
+  // lists.
   return entry.name() == field::host ||
+         IsNamed(entry, http_profile.request_id) ||
+         IsNamed(entry, http_profile.signature) ||
          !IsNamedInConnection(connection, entry.name_string());
 }
 
