Do not take an interim response for the response to a probe

The library ends reading at an interim response, so the connection went back to the pool while the response to the probe was still to come. Found by the review.

Evidence: InterimResponseIsNotTheResponse saw a result and a kept connection before.

--- a/src/process/servers/io/load_prober.cc
+++ b/src/process/servers/io/load_prober.cc
@@ -27,6 +27,7 @@
 // slot instead.
 constexpr std::chrono::milliseconds kProbeTimeout{150};
 
+constexpr unsigned kStatusOk = 200;
 constexpr uint64_t kMaxProbeBody = 4096;
 
 std::string_view View(boost::beast::string_view text) {
@@ -130,6 +131,9 @@
 
   void HandleResponse() {
     const auto& response = parser_.get();
+    // After an interim response, the response to the probe is still to come.
+    if (response.result_int() < kStatusOk)
+      return End(false);
     if (HasRequestId()) {
       ++counters_.response_faults[static_cast<size_t>(
           ResponseFault::kExtraResponse)];
--- a/tests/connection/load_prober_test.cc
+++ b/tests/connection/load_prober_test.cc
@@ -78,6 +78,18 @@
   EXPECT_TRUE(Eventually([&written] { return *written < kEndlessBytes; }));
 }
 
+// Guards against the response to a probe that the next request takes for its
+// own, because an interim response was taken for it.
+TEST_F(LoadProberTest, InterimResponseIsNotTheResponse) {
+  FakeServer server([](TestConnection& connection) {
+    while (!connection.ReadMessage().empty())
+      connection.Write("HTTP/1.1 100 Continue\r\n\r\n");
+  });
+  EXPECT_FALSE(Probe(server).answered);
+  EXPECT_FALSE(Probe(server).answered);
+  EXPECT_EQ(server.connections(), 2);
+}
+
 // Guards against a probe that fails, or that closes its connection, although
 // the server responds as it should.
 TEST_F(LoadProberTest, HealthyServerKeepsItsConnection) {
