Send the whole body after an attempt that sent none of it

If the first attempt of a request with a body over 64 KiB ended before its upload was started, for example because the connection was refused, the second server got only the first 64 KiB and the caller 504 at the deadline: the flag that stops an upload was set by the first attempt and never cleared.

--- a/src/request/io/body_upload.cc
+++ b/src/request/io/body_upload.cc
@@ -63,6 +63,8 @@
   if (parser_.is_done())
     return;
   streaming_ = true;
+  // Set if an earlier attempt ended before its upload was started.
+  stopping_ = false;
   attempt->report().body_dropped = true;
   buffered_ = std::string();
   // Stop() is always called and waits, so `this` outlives the coroutine.
--- a/src/request/io/body_upload.h
+++ b/src/request/io/body_upload.h
@@ -33,7 +33,10 @@
    */
   std::string EncodeBuffered() const;
 
+  /** True if all of the body was received; it may not have been sent yet. */
   bool complete() const { return parser_.is_done(); }
+  /** True while the rest of the body is being sent to an attempt. */
+  bool streaming() const { return streaming_; }
   bool has_buffered() const { return !buffered_.empty(); }
 
   /** Streams the rest of the body, if any, to `attempt` in a new coroutine. */
--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -114,6 +114,31 @@
                                       HasSubstr("Outcome: unknown")));
 }
 
+// Guards against a body of which the rest is not sent, because the first
+// attempt ended before any of it was.
+TEST_F(BodyTest, RetryAfterRefusedConnectionSendsTheWholeBody) {
+  constexpr int kClosedServers = 18;
+  const std::string body(300 * 1024, 'x');
+  std::vector<Endpoint> servers;
+  for (int i = 0; i < kClosedServers; ++i)
+    servers.push_back(FakeServer([](TestConnection&) {}).endpoint());
+  server_ = std::make_unique<FakeServer>(RespondToAll("ok"));
+  servers.push_back(server_->endpoint());
+  Start(servers);
+  std::string response;
+  // Each request tries a few servers; closed ones are not tried again soon.
+  for (int i = 0; i < kClosedServers && response.find("200") == response.npos;
+       ++i) {
+    response = Exchange(
+        "POST /idempotent HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        "Content-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  EXPECT_THAT(response, EndsWith("ok"));
+  EXPECT_GT(tables_.counters.retries, 0);
+  EXPECT_EQ(ErrorCount(ErrorKind::kBackendTimeout), 0);
+}
+
 // Guards against a caller that stops reading and holds a backend connection for
 // ever.
 TEST_F(BodyTest, StalledReaderIsDisconnected) {
