Close the connection of each caller of HTTP/1.0

A body without a length is sent to a caller of HTTP/1.0 until the close. With 'Connection: keep-alive' the connection stayed open, so the next response was read as part of the body. The instance does not offer keep-alive to HTTP/1.0, which would need a field of its own, so it closes. Found by the review.

--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -379,8 +379,10 @@
   return false;
 }
 
+// A caller of HTTP/1.0 may get a body whose end is marked by the close.
 bool RequestHandler::ClosesAfterResponse() const {
   return must_close_ || !parser_.keep_alive() || caller_.draining ||
+         header_.version() == kHttp10 ||
          OwnState(context_.tables.membership) == InstanceState::kLeaving;
 }
 
--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -139,6 +139,23 @@
   EXPECT_EQ(ErrorCount(ErrorKind::kBackendTimeout), 0);
 }
 
+// Guards against a body whose end is marked by a close that does not come.
+TEST_F(BodyTest, Http10CallerIsDisconnectedDespiteKeepAlive) {
+  StartWith([](TestConnection& connection) {
+    connection.ReadMessage();
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n\r\n");
+    connection.ReadMessage();
+  });
+  TestConnection caller = Connect();
+  caller.Write(
+      "GET /open HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n");
+  EXPECT_THAT(caller.ReadHead(), HasSubstr("200 OK"));
+  EXPECT_EQ(caller.ReadAll(), "abc");
+  EXPECT_FALSE(caller.timed_out());
+}
+
 // Guards against a caller that stops reading and holds a backend connection for
 // ever.
 TEST_F(BodyTest, StalledReaderIsDisconnected) {
