Stop an upload that a server may never read

The exchange counts as complete now only when the upload has ended. - After an exception, the connection was released before the upload on it had ended.

--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -100,8 +100,9 @@
     ++context_.tables.counters
           .errors[static_cast<size_t>(ErrorKind::kInternal)];
   }
-  race_.Abandon(yield);
+  race_.Interrupt(AttemptReport::End::kCancelled);
   upload_.Stop(yield);
+  race_.Abandon(yield);
   stream_.Reset();
   return false;
 }
@@ -349,8 +350,9 @@
                              ClosesAfterResponse()};
   const RelayEnd end =
       RelayResponse(*attempt, stream_, context_, options, yield);
+  // A server that has answered early may never read the rest of the body.
   const bool exchange_complete =
-      end == RelayEnd::kComplete && upload_.complete();
+      end == RelayEnd::kComplete && upload_.complete() && !upload_.streaming();
   if (!exchange_complete)
     attempt->Abort(AttemptReport::End::kCancelled);
   upload_.Stop(yield);
