Split the reading of a response, and record faults before an attempt ends

The owner of a response is another request unless it is found to be this one.

Finish recorded a fault, which can run out of memory, after it had marked the attempt as finished; the connection's place would have been lost. The id of the last request is set when it is sent, so the log names no request that was not.

--- a/src/connection/sent_requests.h
+++ b/src/connection/sent_requests.h
@@ -28,7 +28,11 @@
 /** Adds a request; does nothing if `id` is empty. */
 void Add(SentRequests& sent, std::string_view id, bool is_head);
 
-/** Null if no request with this id was sent. */
+/**
+ * Null if no request with this id was sent. Two ids with the same hash count as
+ * one: at worst a connection is not reused, or a response that is not forwarded
+ * anyway is skipped.
+ */
 const SentRequest* Find(const SentRequests& sent, std::string_view id);
 
 bool IsFull(const SentRequests& sent);
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -9,7 +9,6 @@
 #include "process/tables.h"
 #include "request/header_scan.h"
 #include "request/load_metrics.h"
-#include "request/response_owner.h"
 
 namespace mangodoor {
 namespace {
@@ -34,6 +33,20 @@
   return {text.data(), text.size()};
 }
 
+/** The fault of a response that does not belong to the running request. */
+ResponseFault FaultOf(ResponseOwner::Kind kind) {
+  switch (kind) {
+    case ResponseOwner::Kind::kEarlierRequest:
+      return ResponseFault::kExtraResponse;
+    case ResponseOwner::Kind::kNotStated:
+      return ResponseFault::kNoRequestId;
+    case ResponseOwner::Kind::kOtherRequest:
+    case ResponseOwner::Kind::kThisRequest:
+      break;
+  }
+  return ResponseFault::kOtherRequestId;
+}
+
 /** True for the statuses that can mean that a request did not run. */
 bool IsRefusal(http::status status) {
   return status == http::status::request_timeout ||
@@ -179,6 +192,7 @@
   message += request_.body;
   report_.bytes_sent = true;
   earlier_requests_ = connection_->sent.requests.size();
+  connection_->last_request_id = request_.id;
   Add(connection_->sent, request_.id, request_.is_head);
   return !Write(message, yield);
 }
@@ -230,8 +244,8 @@
 }
 
 /**
- * Reads past an interim response or one to an earlier request, or reads the
- * head of the response to this request.
+ * Reads one response. On success, either `response_` is set, or the response
+ * was an interim one or one to an earlier request and has been skipped.
  */
 std::optional<AttemptReport::End> BackendAttempt::ReadNextResponse(
     YieldContext yield) {
@@ -241,41 +255,47 @@
   auto response = ParseHead(size, request_.is_head);
   if (!response)
     return AttemptReport::End::kBadResponse;
-  const unsigned status = response->header.result_int();
-  if (status == kStatusSwitchingProtocols) {
-    RecordFault(ResponseFault::kProtocolSwitched, response.get());
-    return AttemptReport::End::kBadResponse;
-  }
-  // The head of a response that breaks off in a field can run into the next.
-  if (RepeatsDecidingField(response->header, context_.http_profile)) {
-    RecordFault(ResponseFault::kRepeatedField, response.get());
+  if (const auto fault = FaultOfHead(*response)) {
+    RecordFault(*fault, response.get());
     return AttemptReport::End::kBadResponse;
   }
   const ResponseOwner owner =
       OwnerOf(RequestIdOf(*response), {request_.id, request_.is_head},
               connection_->sent);
+  // Whether the response has a body depends on the method of its own request.
   if (owner.is_head != request_.is_head)
     response = ParseHead(size, owner.is_head);
   if (!response)
     return AttemptReport::End::kBadResponse;
   connection_->buffer.consume(size);
   // Interim responses are not forwarded: this instance answers Expect itself.
-  if (status < kStatusOk)
+  if (response->header.result_int() < kStatusOk)
     return std::nullopt;
-  switch (owner.kind) {
-    case ResponseOwner::Kind::kThisRequest:
-      response_ = std::move(response);
-      return std::nullopt;
-    case ResponseOwner::Kind::kEarlierRequest:
-      RecordFault(ResponseFault::kExtraResponse, response.get());
-      return SkipBody(*response, yield);
-    case ResponseOwner::Kind::kNotStated:
-      RecordFault(ResponseFault::kNoRequestId, response.get());
-      break;
-    case ResponseOwner::Kind::kOtherRequest:
-      RecordFault(ResponseFault::kOtherRequestId, response.get());
-      break;
-  }
+  if (owner.kind != ResponseOwner::Kind::kThisRequest)
+    return SkipResponse(owner, *response, yield);
+  response_ = std::move(response);
+  return std::nullopt;
+}
+
+/** The reason why nothing can be concluded from a head, if any. */
+std::optional<ResponseFault> BackendAttempt::FaultOfHead(
+    const ServerResponse& response) const {
+  if (response.header.result_int() == kStatusSwitchingProtocols)
+    return ResponseFault::kProtocolSwitched;
+  // The head of a response that breaks off in a field can run into the next.
+  if (RepeatsDecidingField(response.header, context_.http_profile))
+    return ResponseFault::kRepeatedField;
+  return std::nullopt;
+}
+
+/** Skips a response to an earlier request; fails for one of unknown origin. */
+std::optional<AttemptReport::End> BackendAttempt::SkipResponse(
+    const ResponseOwner& owner,
+    ServerResponse& response,
+    YieldContext yield) {
+  RecordFault(FaultOf(owner.kind), &response);
+  if (owner.kind == ResponseOwner::Kind::kEarlierRequest)
+    return SkipBody(response, yield);
   return AttemptReport::End::kBadResponse;
 }
 
@@ -446,15 +466,15 @@
 // Not done in a destructor: when the program ends, coroutines are unwound after
 // the tables and the pool have been destroyed.
 void BackendAttempt::Finish(AttemptResult::End end, bool response_complete) {
+  const bool keep =
+      connection_ && !aborted_ &&
+      (response_complete ? response_ && response_->parser.keep_alive()
+                         : !report_.bytes_sent);
+  // Before `finished_` is set, since it can run out of memory.
+  if (keep && connection_->buffer.size() > 0)
+    RecordFault(ResponseFault::kBytesAfterResponse);
   finished_ = true;
   if (connection_) {
-    const bool keep =
-        !aborted_ &&
-        (response_complete ? response_ && response_->parser.keep_alive()
-                           : !report_.bytes_sent);
-    if (keep && connection_->buffer.size() > 0)
-      RecordFault(ResponseFault::kBytesAfterResponse);
-    connection_->last_request_id = request_.id;
     if (keep)
       context_.pool.Return(std::move(connection_));
     else
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -14,6 +14,7 @@
 #include "request/attempt.h"
 #include "request/io/outgoing_request.h"
 #include "request/io/server_response.h"
+#include "request/response_owner.h"
 
 namespace mangodoor {
 
@@ -65,7 +66,7 @@
   Duration latency() const { return result_.latency; }
   /** Status of the response to the request; 0 if its head was not read. */
   int status() const { return response_ ? response_->status() : 0; }
-  /** Requests that the connection had carried before this one. */
+  /** Requests with an id that the connection had carried before. */
   size_t earlier_requests() const { return earlier_requests_; }
   bool connection_was_reused() const { return was_reused_; }
   bool finished() const { return finished_; }
@@ -91,6 +92,11 @@
                                             bool is_response_to_head);
   std::optional<std::string_view> RequestIdOf(
       const ServerResponse& response) const;
+  std::optional<ResponseFault> FaultOfHead(
+      const ServerResponse& response) const;
+  std::optional<AttemptReport::End> SkipResponse(const ResponseOwner& owner,
+                                                 ServerResponse& response,
+                                                 YieldContext yield);
   std::optional<AttemptReport::End> SkipBody(ServerResponse& response,
                                              YieldContext yield);
   AttemptReport::End BufferBody(ServerResponse& response, YieldContext yield);
--- a/src/request/request_trace.h
+++ b/src/request/request_trace.h
@@ -28,7 +28,7 @@
    */
   Duration took{};
   AttemptReport::End end = AttemptReport::End::kConnectionLost;
-  /** Requests that its connection had carried before. */
+  /** Requests with an id that its connection had carried before. */
   size_t earlier_requests = 0;
   /** Status of the server's response; 0 if none arrived. */
   int status = 0;
--- a/src/request/response_owner.h
+++ b/src/request/response_owner.h
@@ -19,7 +19,7 @@
     /** A request that was not sent on the connection. */
     kOtherRequest,
   };
-  Kind kind = Kind::kThisRequest;
+  Kind kind = Kind::kOtherRequest;
   /** True if the owner is a HEAD request, whose response has no body. */
   bool is_head = false;
 };
