--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -120,6 +120,7 @@
   constexpr int kClosedServers = 18;
   const std::string body(300 * 1024, 'x');
   std::vector<Endpoint> servers;
+  servers.reserve(kClosedServers + 1);
   for (int i = 0; i < kClosedServers; ++i)
     servers.push_back(FakeServer([](TestConnection&) {}).endpoint());
   server_ = std::make_unique<FakeServer>(RespondToAll("ok"));
