--- a/tests/connection/fake_server.cc
+++ b/tests/connection/fake_server.cc
@@ -103,7 +103,8 @@
 void TestConnection::Reset() {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  ::connect(socket_.native_handle(), &none, sizeof(none));
+  [[maybe_unused]] const int result =
+      ::connect(socket_.native_handle(), &none, sizeof(none));
 }
 
 void TestConnection::SendSmallWrites() {
--- a/tests/connection/request_lines_test.cc
+++ b/tests/connection/request_lines_test.cc
@@ -43,14 +43,16 @@
   return "HTTP/1.1 500 Error\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
 }
 
-const std::string kRequest = RequestWithId("r-1");
+std::string Request() {
+  return RequestWithId("r-1");
+}
 
 // Guards against a request that is logged without its id because it failed
 // before the instance had its first configuration version.
 TEST_F(RequestLinesTest, RequestWithoutDocumentIsLoggedWithId) {
   has_initial_version_ = false;
   StartWith(RespondToAll("ok"));
-  const auto line = LogLineOf(kRequest);
+  const auto line = LogLineOf(Request());
   EXPECT_EQ(line["id"], "r-1");
   EXPECT_EQ(line["error"], "configuration_missing");
   EXPECT_EQ(line["route"], "a");
@@ -60,7 +62,7 @@
 // connection without a response.
 TEST_F(RequestLinesTest, LostConnectionHasNoStatus) {
   StartWith([](TestConnection& connection) { connection.ReadMessage(); });
-  const auto line = LogLineOf(kRequest);
+  const auto line = LogLineOf(Request());
   EXPECT_EQ(line["id"], "r-1");
   const std::string attempts = line["attempts"];
   EXPECT_THAT(attempts, HasSubstr("connection_lost"));
@@ -80,7 +82,7 @@
         "more");
   });
   Exchange(RequestWithId("r-0"));
-  const auto line = LogLineOf(kRequest);
+  const auto line = LogLineOf(Request());
   EXPECT_THAT(std::string(line["response_faults"]),
               AllOf(HasSubstr("extra_response 500 of r-0"),
                     HasSubstr("bytes_after_response 200 of r-1")));
@@ -103,7 +105,7 @@
       caller.ReadMessage();
     }
   }
-  Exchange(kRequest);
+  Exchange(Request());
   listener_.reset();
   std::istringstream text(testing::internal::GetCapturedStdout());
   std::vector<std::string> callers;
@@ -128,7 +130,7 @@
     connection.ReadMessage();
   });
   Exchange(RequestWithId(id));
-  const std::string faults = LogLineOf(kRequest)["response_faults"];
+  const std::string faults = LogLineOf(Request())["response_faults"];
   EXPECT_THAT(faults, HasSubstr("and 14 more"));
   EXPECT_LT(faults.size(), 1024);
 }
@@ -145,9 +147,9 @@
     connection.ReadMessage();
   });
   testing::internal::CaptureStdout();
-  Exchange(kRequest);
+  Exchange(Request());
   std::this_thread::sleep_for(2 * kPause);
-  Exchange(kRequest);
+  Exchange(Request());
   const std::string text = testing::internal::GetCapturedStdout();
   EXPECT_THAT(text, HasSubstr("\"backend_connection_closed\""));
   EXPECT_THAT(text, HasSubstr("\"fault\":\"bytes_while_idle\""));
