--- a/tests/connection/request_lines_test.cc
+++ b/tests/connection/request_lines_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -32,8 +33,6 @@
   RequestLog log_{clock_};
 };
 
-constexpr std::chrono::milliseconds kPause{50};
-
 std::string RequestWithId(const std::string& id) {
   return "GET /open HTTP/1.1\r\nHost: a\r\nX-Id: " + id +
          "\r\nConnection: close\r\n\r\n";
@@ -95,16 +94,15 @@
 // Guards against lines that do not tell which requests shared a connection of a
 // caller.
 TEST_F(RequestLinesTest, LinesOfOneConnectionHaveTheSameCaller) {
-  StartWith(RespondToAll("ok"));
   http_profile_.request_id = "";
+  StartWith(RespondToAll("ok"));
   testing::internal::CaptureStdout();
-  {
-    TestConnection caller = Connect();
-    for (int i = 0; i < 2; ++i) {
-      caller.Write(kGet);
-      caller.ReadMessage();
-    }
-  }
+  TestConnection caller = Connect();
+  caller.Write(kGet);
+  caller.ReadMessage();
+  // The line of a request is written before its connection is closed.
+  caller.Write(Request());
+  caller.ReadAll();
   Exchange(Request());
   listener_.reset();
   std::istringstream text(testing::internal::GetCapturedStdout());
@@ -137,18 +135,24 @@
 
 // Guards against bytes on an idle connection that leave no trace in the log.
 TEST_F(RequestLinesTest, BytesWhileIdleAreLoggedWithTheLastId) {
-  StartWith([](TestConnection& connection) {
-    if (connection.ReadMessage().empty())
-      return;
+  const auto may_write = std::make_shared<std::atomic<bool>>(false);
+  const auto written = std::make_shared<std::atomic<bool>>(false);
+  StartWith([may_write, written](TestConnection& connection) {
+    connection.ReadMessage();
     connection.Write(
         "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nok");
-    std::this_thread::sleep_for(kPause);
+    if (*written ||
+        !Eventually([&may_write] { return may_write->exchange(false); }))
+      return;
     connection.Write("late");
+    *written = true;
     connection.ReadMessage();
   });
   testing::internal::CaptureStdout();
+  // The connection is idle once the caller's connection is closed.
   Exchange(Request());
-  std::this_thread::sleep_for(2 * kPause);
+  *may_write = true;
+  EXPECT_TRUE(Eventually([&written] { return written->load(); }));
   Exchange(Request());
   const std::string text = testing::internal::GetCapturedStdout();
   EXPECT_THAT(text, HasSubstr("\"backend_connection_closed\""));
