--- a/tests/fleet/harness/child_process.h
+++ b/tests/fleet/harness/child_process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,7 +30,11 @@
 
   pid_t pid() const { return pid_; }
 
+  /** Most memory that the program has used, in bytes; 0 if it has ended. */
+  uint64_t PeakMemory() const;
+
  private:
+  std::string program_;
   pid_t pid_ = -1;
 };
 
--- a/tests/fleet/harness/http_client.h
+++ b/tests/fleet/harness/http_client.h
@@ -2,6 +2,7 @@
 #define TESTS_FLEET_HARNESS_HTTP_CLIENT_H_
 
 #include <chrono>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,6 +16,10 @@
   std::string target = "/";
   std::map<std::string, std::string> fields;
   std::string body;
+  /** Sends the body in chunks, without its length. */
+  bool chunked = false;
+  /** A response with a larger body counts as incomplete. */
+  uint64_t max_response_body = std::numeric_limits<uint64_t>::max();
 };
 
 struct ClientResponse {
@@ -27,6 +32,17 @@
   std::string outcome;
   /** The server closes the connection after this response. */
   bool closes = false;
+  /** Field names as they were received. */
+  std::map<std::string, std::string> fields;
+  /** The reason if bytes arrived that are not a response; otherwise empty. */
+  std::string malformed;
+};
+
+/** Bytes that arrived while no request waits for a response. */
+struct UnexpectedBytes {
+  std::string bytes;
+  /** The connection has ended. */
+  bool closed = false;
 };
 
 /** A caller's connection, kept alive between requests. */
@@ -40,6 +56,12 @@
       const ClientRequest& request,
       std::chrono::milliseconds timeout = std::chrono::seconds(5));
 
+  /** Returns the bytes that have arrived since the last response. */
+  UnexpectedBytes ReadUnexpected();
+
+  /** The same, for the bytes that arrive up to the close or the timeout. */
+  UnexpectedBytes ReadUnexpectedUntilClose(std::chrono::milliseconds timeout);
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -72,6 +72,9 @@
   int instances() const { return plan_.instances; }
   int servers() const { return plan_.zones * plan_.servers_per_zone; }
   int zone_of_server(int index) const { return index % plan_.zones; }
+  static std::string ServerId(int index) {
+    return "i-" + std::to_string(index);
+  }
 
   bool IsReady(int index) const;
   bool WaitUntilReady(std::chrono::milliseconds timeout);
@@ -118,6 +121,10 @@
   /** Number of runs of each request over all servers, by request id. */
   std::map<std::string, int> Runs() const;
   std::string LogOf(int index) const;
+  /** File in which a server, also after restarts, records what it ran. */
+  std::string RunLogPath(int server) const;
+  /** Sends the body of /standin/faults to a server. False if it failed. */
+  bool SetServerFaults(int server, const std::string& mode) const;
   /** The status that an instance reports on its admin address. */
   InstanceStatus StatusOf(int index) const;
 
--- a/tests/soak_fleet/soak_plan.h
+++ b/tests/soak_fleet/soak_plan.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "fleet/harness/fault_relay.h"
+#include "standins/lib/server_faults.h"
 
 namespace mangodoor {
 
@@ -38,6 +39,9 @@
   kStoreCompact,
   kEvacuate,
   kNewVersion,
+  // Only in the series of PlanSoak.
+  kReloadInstance,
+  kServerResponses,
 };
 
 const char* FaultName(SoakFaultKind kind);
@@ -51,14 +55,18 @@
   LinkFault link = LinkFault::kNone;
   /** For kStoreMode: mode of the stand-in store. */
   std::string mode;
+  /** For kServerResponses. */
+  ServerFaultKind server_fault = ServerFaultKind::kExtraResponse;
+  int share_percent = 0;
   /** Time from the start of the run. */
   std::chrono::milliseconds at{};
   std::chrono::milliseconds duration{};
 };
 
 /**
- * Returns the faults of a run, ordered by start time. The seed determines all
- * of them.
+ * Returns the faults of a run, ordered by start time: single faults, series of
+ * faulty responses of several servers, and series of signals and new versions.
+ * The seed determines all of them.
  */
 std::vector<SoakFault> PlanSoak(uint64_t seed, const SoakSize& size);
 
--- a/tests/soak_fleet/soak_run.h
+++ b/tests/soak_fleet/soak_run.h
@@ -55,9 +55,14 @@
   void FinishAllFaults();
   void CheckProcesses();
   void CheckStop(int instance);
+  void RecordMemory(int instance);
   void Restart(int instance);
   void PublishVersion();
   size_t BeginFaultPeriod(int instance);
+  /** Sends servers the faults that the plan wants, if they differ. */
+  void UpdateServerFaults();
+  std::string WantedServerFaults(int server) const;
+  bool IsPaused(int server) const;
   void CollectRuns(int server);
   bool WaitForRecovery();
 
@@ -68,6 +73,8 @@
   std::atomic<uint64_t> current_version_{0};
   std::vector<std::atomic<int>> incarnations_;
   std::vector<ActiveFault> active_;
+  /** By server, the faults that it was sent; none if it has no faults. */
+  std::map<int, std::string> server_faults_;
   /** For each instance that is stopping, when it got SIGTERM. */
   std::map<int, TimePoint> stopping_;
   std::vector<std::string> violations_;
