--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -112,8 +112,8 @@
           addresses.clear();
           continue;
         }
-        const ClientResult result = Call(*connection, "GET", kHost,
-                                         "/calendar/x", id, kKey, 1500);
+        const ClientResult result =
+            Call(*connection, "GET", kHost, "/calendar/x", id, kKey, 1500);
         Note("client: " + id + " to " + name + " -> " +
              std::to_string(result.status));
         std::lock_guard<std::mutex> lock(traffic.mutex);
@@ -159,15 +159,14 @@
                   "confirmation, %.2f s after the start of front-2",
                   arrival.id.c_str(), arrival.server.c_str(),
                   traffic.instance_of[arrival.id].c_str(),
-                  arrival.at - acknowledged,
-                  arrival.at - second.started_at());
+                  arrival.at - acknowledged, arrival.at - second.started_at());
     Note(text);
   }
   const std::string summary =
       std::to_string(late) + " requests reached the draining server later " +
       "than DrainMs (" + std::to_string(from_first) + " from front-1); " +
-      std::to_string(traffic.answered) + " of " +
-      std::to_string(traffic.sent) + " requests answered";
+      std::to_string(traffic.answered) + " of " + std::to_string(traffic.sent) +
+      " requests answered";
   Note(summary);
   std::cout << summary << std::endl;
   return late > 0;
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -68,8 +68,7 @@
     servers.push_back(std::make_unique<Server>(store, options));
   }
   RouteSpec route{"/history/", "safe", "archive", kTimeoutMs, 1500};
-  store.Put("op/config",
-            Configuration(5, kHost, {route}, {"archive"}, {kKey}));
+  store.Put("op/config", Configuration(5, kHost, {route}, {"archive"}, {kKey}));
 
   const std::vector<Instance::Ports> ports = {Instance::NewPorts(),
                                               Instance::NewPorts()};
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -53,8 +54,8 @@
 
 inline void SleepUntil(double at) {
   while (Now() < at)
-    std::this_thread::sleep_for(std::chrono::duration<double>(
-        std::clamp(at - Now(), 0.0005, 0.05)));
+    std::this_thread::sleep_for(
+        std::chrono::duration<double>(std::clamp(at - Now(), 0.0005, 0.05)));
 }
 
 inline void Sleep(double seconds) {
@@ -198,8 +199,8 @@
   bool Write(const std::string& data) {
     size_t sent = 0;
     while (sent < data.size()) {
-      const ssize_t size = send(fd_, data.data() + sent, data.size() - sent,
-                                MSG_NOSIGNAL);
+      const ssize_t size =
+          send(fd_, data.data() + sent, data.size() - sent, MSG_NOSIGNAL);
       if (size <= 0)
         return false;
       sent += static_cast<size_t>(size);
@@ -605,17 +606,18 @@
 
   void Register(const std::string& state) {
     draining_ = state != "ready";
-    store_.Put("servers/" + options_.id,
-               Json{{"Address", endpoint_.text()},
-                    {"Details",
-                     {{"Service", options_.service},
-                      {"Version", "v1"},
-                      {"Zone", options_.zone},
-                      {"Slots", options_.slots}}},
-                    {"Status",
-                     {{"State", state}, {"Sequence", 1}, {"ColdRemainingMs", 0}}},
-                    {"born", born_}}
-                   .dump());
+    store_.Put(
+        "servers/" + options_.id,
+        Json{{"Address", endpoint_.text()},
+             {"Details",
+              {{"Service", options_.service},
+               {"Version", "v1"},
+               {"Zone", options_.zone},
+               {"Slots", options_.slots}}},
+             {"Status",
+              {{"State", state}, {"Sequence", 1}, {"ColdRemainingMs", 0}}},
+             {"born", born_}}
+            .dump());
   }
 
   /** Ends the server; its entry is removed first. */
@@ -745,30 +747,29 @@
     Json seed_list = Json::array();
     for (const Endpoint& seed : seeds)
       seed_list.push_back(seed.text());
-    const Json fields{
-        {"Node", name},
-        {"Zone", zone},
-        {"Ip", "127.0.0.1"},
-        {"Listen",
-         {{"Front", ports.front.text()},
-          {"Ready", ports.ready.text()},
-          {"Control", ports.control.text()},
-          {"Directory", ports.directory.text()}}},
-        {"InternalPorts", {ports.internal, ports.internal}},
-        {"Limits", {{"Cores", 1}, {"CpuShare", 0.2}}},
-        {"Seeds", seed_list},
-        {"Platform", {{"Address", store.text()}}},
-        {"Bounds",
-         {{"QuotaWindowS", 5},
-          {"QuotaOverage", 0.25},
-          {"QuotaSlack", 20},
-          {"BudgetRatio", 0.2},
-          {"BudgetWindowS", 10},
-          {"BudgetSlack", 58},
-          {"ProbesPerS", 60},
-          {"GraceS", 6},
-          {"FailClosed", false},
-          {"RevokeMs", 5000}}}};
+    const Json fields{{"Node", name},
+                      {"Zone", zone},
+                      {"Ip", "127.0.0.1"},
+                      {"Listen",
+                       {{"Front", ports.front.text()},
+                        {"Ready", ports.ready.text()},
+                        {"Control", ports.control.text()},
+                        {"Directory", ports.directory.text()}}},
+                      {"InternalPorts", {ports.internal, ports.internal}},
+                      {"Limits", {{"Cores", 1}, {"CpuShare", 0.2}}},
+                      {"Seeds", seed_list},
+                      {"Platform", {{"Address", store.text()}}},
+                      {"Bounds",
+                       {{"QuotaWindowS", 5},
+                        {"QuotaOverage", 0.25},
+                        {"QuotaSlack", 20},
+                        {"BudgetRatio", 0.2},
+                        {"BudgetWindowS", 10},
+                        {"BudgetSlack", 58},
+                        {"ProbesPerS", 60},
+                        {"GraceS", 6},
+                        {"FailClosed", false},
+                        {"RevokeMs", 5000}}}};
     std::ifstream file("platform/settings.json");
     std::stringstream text;
     text << file.rdbuf();
@@ -782,9 +783,7 @@
   const std::string& name() const { return name_; }
   double started_at() const { return started_at_; }
   std::string log_path() const { return path_ + ".log"; }
-  bool running() {
-    return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0;
-  }
+  bool running() { return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
 
   void Start() {
     const std::string program = "target/mangodoor-platform";
@@ -795,8 +794,10 @@
     pid_ = fork();
     if (pid_ != 0)
       return;
-    const int log = open(log_path().c_str(),
-                         O_WRONLY | O_CREAT | O_APPEND, 0644);
+    // The instance ends with the script, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log =
+        open(log_path().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     const std::string settings = path_ + ".json";
@@ -869,10 +870,10 @@
   ClientResult result;
   result.sent_at = Now();
   const double until = result.sent_at + deadline_ms / 1000.0;
-  std::string request = method + " " + path + " HTTP/1.1\r\nHost: " + host +
-                        "\r\nX-Request-Id: " + id +
-                        "\r\nX-Request-Deadline-Ms: " +
-                        std::to_string(deadline_ms) + "\r\n";
+  std::string request =
+      method + " " + path + " HTTP/1.1\r\nHost: " + host +
+      "\r\nX-Request-Id: " + id +
+      "\r\nX-Request-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
   if (!key.empty())
     request += "Authorization: Token " + key + "\r\n";
   if (!body.empty() || method == "POST")
@@ -934,8 +935,8 @@
   for (const Json& address : json.value("Addresses", Json::array())) {
     const std::string text = address.get<std::string>();
     const size_t colon = text.find(':');
-    addresses.push_back({text.substr(0, colon),
-                         std::atoi(text.c_str() + colon + 1)});
+    addresses.push_back(
+        {text.substr(0, colon), std::atoi(text.c_str() + colon + 1)});
   }
   return addresses;
 }
@@ -962,19 +963,19 @@
                                  const std::vector<std::string>& keys) {
   Json resources = Json::array();
   for (const RouteSpec& route : routes)
-    resources.push_back({{"ResourceKind", "Routes"},
-                         {"Metadata", {{"Name", "r" + std::to_string(
-                                                          resources.size())}}},
-                         {"Spec",
-                          {{"Host", host},
-                           {"Prefix", route.prefix},
-                           {"Kind", route.kind},
-                           {"TimeoutMs", route.timeout_ms},
-                           {"TargetLatencyMs", route.target_ms},
-                           {"Priority", 1},
-                           {"Service", route.service},
-                           {"MaxAttempts", 2},
-                           {"Public", false}}}});
+    resources.push_back(
+        {{"ResourceKind", "Routes"},
+         {"Metadata", {{"Name", "r" + std::to_string(resources.size())}}},
+         {"Spec",
+          {{"Host", host},
+           {"Prefix", route.prefix},
+           {"Kind", route.kind},
+           {"TimeoutMs", route.timeout_ms},
+           {"TargetLatencyMs", route.target_ms},
+           {"Priority", 1},
+           {"Service", route.service},
+           {"MaxAttempts", 2},
+           {"Public", false}}}});
   for (const std::string& service : services)
     resources.push_back({{"ResourceKind", "Services"},
                          {"Metadata", {{"Name", service}}},
