Log what each full read of the store consisted of

Before, no line said which revisions the pages of a copy had.

store_reloaded has the revision from which the copy is kept up to date, the number of pages, and the revisions of the oldest and the newest one.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -89,6 +89,14 @@
   return {view.rank, view.local_peers};
 }
 
+void LogReload(const ReloadSummary& reload) {
+  Log(LogLevel::kInfo, "store_reloaded",
+      {{"revision", reload.revision},
+       {"pages", reload.pages},
+       {"oldest_page", reload.oldest_page},
+       {"newest_page", reload.newest_page}});
+}
+
 /**
  * Owns all objects that live as long as the process. Members are declared after
  * those that they hold references to.
@@ -476,6 +484,8 @@
 }
 
 void FleetProcess::RunFeedActions(FeedActions actions) {
+  if (actions.reloaded)
+    LogReload(*actions.reloaded);
   for (const OutgoingMessage& outgoing : actions.messages)
     peers_.Send(outgoing.to, outgoing.message);
   for (const FeedPush& push : actions.pushes)
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -159,6 +159,7 @@
                                                : ReadConsistency::kCurrent;
         return actions;
       }
+      actions.reloaded = SummaryOf(feed.reader.reload);
       actions.changed_items =
           ApplyReload(feed.replica, std::exchange(feed.reader.reload, {}));
     } else {
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "process/ordered_mutex.h"
@@ -62,6 +63,8 @@
   ReadStart read;
   /** Changes to put into force, in order. */
   std::vector<StoreItem> changed_items;
+  /** Set when a full read of the store has ended. */
+  std::optional<ReloadSummary> reloaded;
 };
 
 /** This instance's rank in its data centre, and its local links. */
--- a/src/process/registry/store_replica.cc
+++ b/src/process/registry/store_replica.cc
@@ -107,9 +107,19 @@
 
 }  // namespace
 
+ReloadSummary SummaryOf(const StoreReload& reload) {
+  return {reload.pages, reload.oldest_page, reload.newest_page,
+          reload.revision};
+}
+
 bool AddPage(StoreReload& reload, StoreAnswer page) {
-  if (std::exchange(reload.is_first_page, false))
+  if (std::exchange(reload.is_first_page, false)) {
     reload.revision = page.revision;
+    reload.oldest_page = page.revision;
+  }
+  ++reload.pages;
+  reload.oldest_page = std::min(reload.oldest_page, page.revision);
+  reload.newest_page = std::max(reload.newest_page, page.revision);
   if (!page.items.empty())
     reload.after_key = page.items.back().key;
   const bool last = !page.more || page.items.empty();
--- a/src/process/registry/store_replica.h
+++ b/src/process/registry/store_replica.h
@@ -49,8 +49,23 @@
   /** The last key read; the next page begins after it. */
   std::string after_key;
   bool is_first_page = true;
+  int pages = 0;
+  /** Revisions of the least and the most recent page. */
+  uint64_t oldest_page = 0;
+  uint64_t newest_page = 0;
 };
 
+/** What a full read consisted of, for logs. */
+struct ReloadSummary {
+  int pages = 0;
+  uint64_t oldest_page = 0;
+  uint64_t newest_page = 0;
+  /** Revision from which the copy is kept up to date. */
+  uint64_t revision = 0;
+};
+
+ReloadSummary SummaryOf(const StoreReload& reload);
+
 /** Adds a page; returns true if it was the last one. */
 bool AddPage(StoreReload& reload, StoreAnswer page);
 
