Keep a copy of the store up to date from its oldest page

Cause: the first copy is read with stale reads, and each page can have another age. The copy was taken to be complete up to the revision of its first page. If a later page was older, the changes between the two were neither in the copy nor in what the watch returned; no peer sent them either, since equal revisions count as equal copies. The same held for entries added or deleted in between.

Evidence: store_reloaded of the restarted instance had revision 62 and an older page with 61 of two pages, and the server became draining at 62.

Change: the revision of a copy is that of its oldest page. Every key then reflects a state not older than that, and the watch returns all later changes; those that a newer page had are ignored by their revision.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -93,7 +93,6 @@
   Log(LogLevel::kInfo, "store_reloaded",
       {{"revision", reload.revision},
        {"pages", reload.pages},
-       {"oldest_page", reload.oldest_page},
        {"newest_page", reload.newest_page}});
 }
 
--- a/src/process/registry/store_replica.cc
+++ b/src/process/registry/store_replica.cc
@@ -108,18 +108,18 @@
 }  // namespace
 
 ReloadSummary SummaryOf(const StoreReload& reload) {
-  return {reload.pages, reload.oldest_page, reload.newest_page,
-          reload.revision};
+  return {reload.pages, reload.revision, reload.newest_page};
 }
 
+// Pages are not a snapshot, and stale ones come from copies of different ages,
+// so any page can be the oldest one. A watch that starts after a newer page
+// would never return the changes between the two.
 bool AddPage(StoreReload& reload, StoreAnswer page) {
-  if (std::exchange(reload.is_first_page, false)) {
-    reload.revision = page.revision;
-    reload.oldest_page = page.revision;
-  }
-  ++reload.pages;
-  reload.oldest_page = std::min(reload.oldest_page, page.revision);
+  reload.revision = reload.pages == 0
+                        ? page.revision
+                        : std::min(reload.revision, page.revision);
   reload.newest_page = std::max(reload.newest_page, page.revision);
+  ++reload.pages;
   if (!page.items.empty())
     reload.after_key = page.items.back().key;
   const bool last = !page.more || page.items.empty();
--- a/src/process/registry/store_replica.h
+++ b/src/process/registry/store_replica.h
@@ -44,24 +44,23 @@
 /** A full read of the store, page by page. */
 struct StoreReload {
   std::map<std::string, StoreItem> items;
-  /** Revision of the first page; later pages can contain later changes. */
+  /**
+   * Revision of the oldest page: up to it, `items` lacks no change. Other pages
+   * can contain later changes.
+   */
   uint64_t revision = 0;
+  uint64_t newest_page = 0;
   /** The last key read; the next page begins after it. */
   std::string after_key;
-  bool is_first_page = true;
   int pages = 0;
-  /** Revisions of the least and the most recent page. */
-  uint64_t oldest_page = 0;
-  uint64_t newest_page = 0;
 };
 
 /** What a full read consisted of, for logs. */
 struct ReloadSummary {
   int pages = 0;
-  uint64_t oldest_page = 0;
-  uint64_t newest_page = 0;
-  /** Revision from which the copy is kept up to date. */
+  /** Revision of the oldest page, from which the copy is kept up to date. */
   uint64_t revision = 0;
+  uint64_t newest_page = 0;
 };
 
 ReloadSummary SummaryOf(const StoreReload& reload);
--- a/tests/registry/registry_sim_test.cc
+++ b/tests/registry/registry_sim_test.cc
@@ -202,6 +202,41 @@
   EXPECT_LT(sim.store_requests() - before, 120);
 }
 
+/** What happens to an entry between the revisions of two pages. */
+enum class MissedChange { kWritten, kDeleted, kAdded };
+
+class StaleSecondPageTest : public testing::TestWithParam<MissedChange> {};
+
+// Guards against an instance that, restarted, never sees a change of the store
+// because the second page of its first copy was staler than the first.
+TEST_P(StaleSecondPageTest, RestartedInstanceSeesTheChange) {
+  RegistrySim sim(1, 1, kPageSize);
+  PutServers(sim, 9);
+  sim.RunFor(seconds(3));
+  sim.Stop(0);
+  switch (GetParam()) {
+    case MissedChange::kWritten:
+      sim.store().Put("servers/8", "draining");
+      break;
+    case MissedChange::kDeleted:
+      sim.store().Delete("servers/8");
+      break;
+    case MissedChange::kAdded:
+      sim.store().Put("servers/9", "v1");
+      break;
+  }
+  sim.SetStaleLags({0, 1});
+  sim.Restart(0);
+  sim.RunFor(kPropagationBound);
+  EXPECT_TRUE(sim.AllCurrent());
+}
+
+INSTANTIATE_TEST_SUITE_P(Changes,
+                         StaleSecondPageTest,
+                         testing::Values(MissedChange::kWritten,
+                                         MissedChange::kDeleted,
+                                         MissedChange::kAdded));
+
 // Guards against any order of restarts, refusals, silence, compactions and
 // changes after which an instance's copy differs from the store, for example
 // because it went back to an older state.
@@ -210,6 +245,8 @@
   RegistrySim sim(2, *rc::gen::element(4, 13), kPageSize);
   PutServers(sim, 8);
   sim.RunFor(seconds(1));
+  sim.SetStaleLags(*rc::gen::nonEmpty(rc::gen::container<std::vector<uint64_t>>(
+      rc::gen::inRange<uint64_t>(0, 12))));
   const int faults = *rc::gen::inRange(1, 30);
   for (int i = 0; i < faults; ++i) {
     const int index = *rc::gen::inRange(0, sim.size());
--- a/tests/registry/store_replica_test.cc
+++ b/tests/registry/store_replica_test.cc
@@ -117,6 +117,34 @@
   EXPECT_EQ(replica.revision, 12U);
 }
 
+// Guards against a change that is lost for good because it lies between the
+// revisions of two pages of one full read, the later of which was staler.
+TEST(StoreReplicaTest, LaterPagesCanBeOlderThanTheFirst) {
+  StoreReplica replica;
+  StoreReload reload;
+  StoreAnswer page;
+  page.revision = 12;
+  page.items = {MakeItem("a", 12)};
+  page.more = true;
+  AddPage(reload, page);
+  page.revision = 10;
+  // "b" changed at 11, "c" was deleted at 11 and "d" was added at 11.
+  page.items = {MakeItem("b", 4), MakeItem("c", 5)};
+  page.more = false;
+  ASSERT_TRUE(AddPage(reload, page));
+  ApplyReload(replica, reload);
+  EXPECT_EQ(replica.revision, 10U);
+  const auto changed_items = ApplyChanges(
+      replica, MakeChanges(10, 12,
+                           {MakeItem("b", 11), MakeItem("c", 11, true),
+                            MakeItem("d", 11), MakeItem("a", 12)}));
+  EXPECT_EQ(changed_items.size(), 3U);
+  EXPECT_EQ(replica.items.at("b").revision, 11U);
+  EXPECT_EQ(replica.items.count("c"), 0U);
+  EXPECT_EQ(replica.items.count("d"), 1U);
+  EXPECT_EQ(replica.revision, 12U);
+}
+
 // Guards against a follower that gets changes with a gap after its own.
 TEST(StoreReplicaTest, FollowersGetMissingChanges) {
   StoreReplica replica = LoadedReplica();
--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -1,5 +1,7 @@
 #include "registry/store_sim.h"
 
+#include <algorithm>
+
 namespace mangodoor {
 namespace {
 
@@ -19,6 +21,7 @@
   item.revision = ++revision_;
   items_[key] = item;
   history_.push_back(item);
+  all_changes_.push_back(item);
 }
 
 void SimStore::Delete(const std::string& key) {
@@ -29,6 +32,7 @@
   item.revision = ++revision_;
   item.deleted = true;
   history_.push_back(item);
+  all_changes_.push_back(item);
 }
 
 void SimStore::Compact() {
@@ -36,11 +40,21 @@
   history_after_ = revision_;
 }
 
-StoreAnswer SimStore::Page(const std::string& after_key) const {
+StoreAnswer SimStore::StalePage(const std::string& after_key,
+                                uint64_t revision) const {
   StoreAnswer answer;
   answer.kind = StoreAnswer::Kind::kItems;
-  answer.revision = revision_;
-  for (auto it = items_.upper_bound(after_key); it != items_.end(); ++it) {
+  answer.revision = std::max<uint64_t>(revision, 1);
+  std::map<std::string, StoreItem> items;
+  for (const StoreItem& change : all_changes_) {
+    if (change.revision > answer.revision)
+      break;
+    if (change.deleted)
+      items.erase(change.key);
+    else
+      items[change.key] = change;
+  }
+  for (auto it = items.upper_bound(after_key); it != items.end(); ++it) {
     if (answer.items.size() == page_size_) {
       answer.more = true;
       break;
@@ -168,7 +182,7 @@
   } else if (instance.behaviour == StoreBehaviour::kRefuses) {
     answer.kind = StoreAnswer::Kind::kRefused;
   } else if (read.kind == ReadStart::Kind::kPage) {
-    answer = store_.Page(read.after_key);
+    answer = AnswerPage(read);
   } else {
     answer = store_.Changes(read.after_revision);
     const bool waits = answer.kind == StoreAnswer::Kind::kItems &&
@@ -182,6 +196,14 @@
                                          std::move(answer), now_));
 }
 
+StoreAnswer RegistrySim::AnswerPage(const ReadStart& read) {
+  if (read.consistency == ReadConsistency::kCurrent)
+    return store_.Page(read.after_key);
+  const uint64_t lag = stale_lags_.at(stale_reads_++ % stale_lags_.size());
+  const uint64_t revision = store_.revision();
+  return store_.StalePage(read.after_key, revision - std::min(lag, revision));
+}
+
 void RegistrySim::SendHeartbeat(SimFeedInstance& instance) {
   if (instance.next_heartbeat && now_ < *instance.next_heartbeat)
     return;
--- a/tests/registry/store_sim.h
+++ b/tests/registry/store_sim.h
@@ -22,7 +22,11 @@
   void Delete(const std::string& key);
   /** Discards the history up to now. */
   void Compact();
-  StoreAnswer Page(const std::string& after_key) const;
+  StoreAnswer Page(const std::string& after_key) const {
+    return StalePage(after_key, revision_);
+  }
+  /** A page as it was at `revision`, or the first one if that is earlier. */
+  StoreAnswer StalePage(const std::string& after_key, uint64_t revision) const;
   /** Changes after `revision`; no items if there are none yet. */
   StoreAnswer Changes(uint64_t revision) const;
   uint64_t revision() const { return revision_; }
@@ -32,6 +36,8 @@
   size_t page_size_;
   std::map<std::string, StoreItem> items_;
   std::deque<StoreItem> history_;
+  /** All changes ever made, for stale reads. */
+  std::vector<StoreItem> all_changes_;
   uint64_t history_after_ = 1;
   uint64_t revision_ = 1;
 };
@@ -81,6 +87,13 @@
   void Restart(int index);
   void Stop(int index);
   void RunFor(Duration duration);
+  /**
+   * Reads that may be stale are behind by these numbers of revisions, in turn.
+   */
+  void SetStaleLags(std::vector<uint64_t> lags) {
+    stale_lags_ = std::move(lags);
+    stale_reads_ = 0;
+  }
   int store_requests() const;
   /** True if every running instance has exactly the store's contents. */
   bool AllCurrent() const;
@@ -92,6 +105,7 @@
   void ApplyActions(SimFeedInstance& instance, FeedActions actions);
   void StartRead(SimFeedInstance& instance, const ReadStart& read);
   void AdvanceRead(SimFeedInstance& instance);
+  StoreAnswer AnswerPage(const ReadStart& read);
   void SendHeartbeat(SimFeedInstance& instance);
   void Deliver();
 
@@ -102,6 +116,8 @@
     OutgoingMessage outgoing;
   };
   std::deque<Message> messages_;
+  std::vector<uint64_t> stale_lags_{0};
+  size_t stale_reads_ = 0;
   TimePoint now_{std::chrono::hours(1)};
 };
 
