Refuse differences of two copies that do not fit a follower's copy

Cause: after the store has compacted its history, a reader knows the changes since its revision only by comparing its copy with a new one. A key that was added and deleted in between is in neither, so the difference does not delete it. Followers that had got the addition from another reader took the difference as if it were all changes, and kept the key. The same holds if the first copy had pages of several ages: its newer pages already lacked deleted keys.

Change: the span that was crossed by comparing, and the newest revision that a copy reflects, belong to a copy and to the changes that it sends. Changes that do not fit are refused, and the whole store is requested. FeedUpdate holds StoreChanges instead of a second list of the same fields. Messages of the version before are still read.

Tests: ReloadIsNoDifferenceForFollowersInBetween, FollowersPassOnWhatTheyKnowByComparison, ReloadOfACopyOfMixedAgeIsNoDifference failed before.

--- a/src/process/peers/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -397,31 +397,46 @@
 }
 
 Json Encode(const FeedUpdate& update) {
+  const StoreChanges& changes = update.changes;
   Json items = Json::array();
-  for (const StoreItem& item : update.items) {
+  for (const StoreItem& item : changes.items) {
     items.push_back(
         {item.key, item.revision, item.deleted, ToBytes(item.value)});
   }
-  return {{"t", "feed_update"},
-          {"after", update.after},
-          {"up_to", update.up_to},
-          {"whole", update.whole},
-          {"items", std::move(items)}};
+  Json json{{"t", "feed_update"},     {"after", changes.after},
+            {"up_to", changes.up_to}, {"newest", changes.newest},
+            {"whole", changes.whole}, {"items", std::move(items)}};
+  if (changes.compared) {
+    json["compared_after"] = changes.compared->after;
+    json["compared_up_to"] = changes.compared->up_to;
+  }
+  return json;
+}
+
+StoreItem DecodeFeedItem(const Json& entry) {
+  StoreItem item;
+  item.key = TextIn(entry, 0);
+  item.revision = static_cast<uint64_t>(IntegerIn(entry, 1, 0, kMaxRevision));
+  item.deleted = FlagIn(entry, 2);
+  item.value = BytesIn(entry, 3);
+  return item;
 }
 
 FeedUpdate DecodeFeedUpdate(const Json& json) {
   FeedUpdate update;
-  update.after = RevisionAt(json, "after");
-  update.up_to = RevisionAt(json, "up_to");
-  update.whole = FlagAt(json, "whole");
-  for (const Json& entry : ArrayAt(json, "items", kMaxFeedItems)) {
-    StoreItem item;
-    item.key = TextIn(entry, 0);
-    item.revision = static_cast<uint64_t>(IntegerIn(entry, 1, 0, kMaxRevision));
-    item.deleted = FlagIn(entry, 2);
-    item.value = BytesIn(entry, 3);
-    update.items.push_back(std::move(item));
+  StoreChanges& changes = update.changes;
+  changes.after = RevisionAt(json, "after");
+  changes.up_to = RevisionAt(json, "up_to");
+  // Absent in messages of earlier versions.
+  changes.newest =
+      json.contains("newest") ? RevisionAt(json, "newest") : changes.up_to;
+  changes.whole = FlagAt(json, "whole");
+  if (json.contains("compared_after")) {
+    changes.compared = RevisionSpan{RevisionAt(json, "compared_after"),
+                                    RevisionAt(json, "compared_up_to")};
   }
+  for (const Json& entry : ArrayAt(json, "items", kMaxFeedItems))
+    changes.items.push_back(DecodeFeedItem(entry));
   return update;
 }
 
--- a/src/process/peers/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -10,7 +10,7 @@
 #include "process/clock.h"
 #include "process/fleet/member.h"
 #include "process/membership/membership.h"
-#include "process/registry/platform_store.h"
+#include "process/registry/store_replica.h"
 #include "process/servers/server_state.h"
 #include "version/ids.h"
 
@@ -175,13 +175,9 @@
   uint64_t after = 0;
 };
 
-/** Changes of the platform's store after revision `after` up to `up_to`. */
+/** Changes of the platform's store. */
 struct FeedUpdate {
-  uint64_t after = 0;
-  uint64_t up_to = 0;
-  /** True if `items` is the whole store at `up_to`, not only changes. */
-  bool whole = false;
-  std::vector<StoreItem> items;
+  StoreChanges changes;
 };
 
 using PeerMessage = std::variant<Hello,
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -53,15 +53,6 @@
          });
 }
 
-FeedUpdate ToMessage(const StoreChanges& changes) {
-  FeedUpdate update;
-  update.after = changes.after;
-  update.up_to = changes.up_to;
-  update.whole = changes.whole;
-  update.items = changes.items;
-  return update;
-}
-
 bool IsHub(size_t rank) {
   return rank < kHubsPerDataCentre;
 }
@@ -116,7 +107,7 @@
   }
   for (auto& [revision, to] : by_revision) {
     actions.pushes.push_back(
-        {std::move(to), ToMessage(ChangesAfter(feed.replica, revision))});
+        {std::move(to), FeedUpdate{ChangesAfter(feed.replica, revision)}});
   }
 }
 
@@ -221,7 +212,7 @@
   FeedActions actions;
   if (feed.replica.revision > request.after) {
     actions.messages.push_back(
-        {from, ToMessage(ChangesAfter(feed.replica, request.after))});
+        {from, FeedUpdate{ChangesAfter(feed.replica, request.after)}});
   }
   return actions;
 }
@@ -234,11 +225,7 @@
   OrderedLock lock(feed.mutex);
   FeedActions actions;
   const uint64_t before = feed.replica.revision;
-  StoreChanges changes;
-  changes.after = update.after;
-  changes.up_to = update.up_to;
-  changes.whole = update.whole;
-  changes.items = update.items;
+  const StoreChanges& changes = update.changes;
   if (CanApply(feed.replica, changes)) {
     feed.requested_at.reset();
     actions.changed_items = ApplyChanges(feed.replica, changes);
@@ -247,9 +234,11 @@
     const bool is_remote = topology.local_peers.count(from) == 0;
     PushUpdates(feed, topology, before,
                 is_remote ? IsPushTarget : IsForwardTarget, actions);
-  } else if (update.up_to > feed.replica.revision) {
+  } else if (changes.up_to > feed.replica.revision) {
     feed.requested_at = now;
-    actions.messages.push_back({from, FeedRequest{feed.replica.revision}});
+    // If changes found by comparison do not fit, no other ones would.
+    const uint64_t after = changes.compared ? 0 : feed.replica.revision;
+    actions.messages.push_back({from, FeedRequest{after}});
   }
   return actions;
 }
--- a/src/process/registry/store_replica.cc
+++ b/src/process/registry/store_replica.cc
@@ -69,16 +69,30 @@
   return missing;
 }
 
+/** Extends the replica's compared span by another one. */
+void AddComparedSpan(StoreReplica& replica, const RevisionSpan& span) {
+  if (!replica.compared) {
+    replica.compared = span;
+    return;
+  }
+  replica.compared->after = std::min(replica.compared->after, span.after);
+  replica.compared->up_to = std::max(replica.compared->up_to, span.up_to);
+}
+
 // Followers that had the replica's items need only the difference. A full copy
-// for each of them would saturate the link of a small instance for seconds.
+// for each of them would saturate the link of a small instance for seconds. A
+// replica that had some changes beyond its revision lacks what followers
+// without them need, so that they get a full copy then.
 void AddReloadToRecent(StoreReplica& replica,
                        std::vector<StoreItem> changed_items,
                        uint64_t revision) {
-  if (replica.revision == 0) {
+  if (replica.revision == 0 || replica.newest > replica.revision) {
     replica.recent.clear();
     replica.recent_after = revision;
+    replica.compared.reset();
     return;
   }
+  AddComparedSpan(replica, {replica.revision, revision});
   std::sort(changed_items.begin(), changed_items.end(),
             [](const StoreItem& a, const StoreItem& b) {
               return a.revision < b.revision;
@@ -90,7 +104,8 @@
 std::vector<StoreItem> ApplyFullCopy(
     StoreReplica& replica,
     const std::map<std::string, StoreItem>& full_copy,
-    uint64_t revision) {
+    uint64_t revision,
+    uint64_t newest) {
   std::vector<StoreItem> changed_items;
   for (const StoreItem& deletion : DeletionsIn(replica, full_copy, revision)) {
     replica.items.erase(deletion.key);
@@ -102,6 +117,7 @@
   }
   AddReloadToRecent(replica, changed_items, revision);
   replica.revision = revision;
+  replica.newest = std::max({replica.newest, revision, newest});
   return changed_items;
 }
 
@@ -133,14 +149,20 @@
 std::vector<StoreItem> ApplyReload(StoreReplica& replica, StoreReload reload) {
   if (reload.revision < replica.revision)
     return {};
-  return ApplyFullCopy(replica, reload.items, reload.revision);
+  return ApplyFullCopy(replica, reload.items, reload.revision,
+                       reload.newest_page);
 }
 
 bool CanApply(const StoreReplica& replica, const StoreChanges& changes) {
   if (changes.up_to < replica.revision)
     return false;
-  return changes.whole ||
-         (replica.revision > 0 && changes.after <= replica.revision);
+  if (changes.whole)
+    return true;
+  const bool lies_in_compared_span = changes.compared &&
+                                     replica.newest > changes.compared->after &&
+                                     replica.revision < changes.compared->up_to;
+  return replica.revision > 0 && changes.after <= replica.revision &&
+         !lies_in_compared_span;
 }
 
 std::vector<StoreItem> ApplyChanges(StoreReplica& replica,
@@ -151,7 +173,7 @@
     std::map<std::string, StoreItem> full_copy;
     for (const StoreItem& item : changes.items)
       full_copy[item.key] = item;
-    return ApplyFullCopy(replica, full_copy, changes.up_to);
+    return ApplyFullCopy(replica, full_copy, changes.up_to, changes.newest);
   }
   std::vector<StoreItem> changed_items;
   for (const StoreItem& item : changes.items) {
@@ -161,21 +183,31 @@
       changed_items.push_back(item);
     AddRecentChange(replica, item);
   }
+  if (changes.compared && changes.compared->up_to > replica.revision)
+    AddComparedSpan(replica, *changes.compared);
   replica.revision = std::max(replica.revision, changes.up_to);
+  replica.newest = std::max({replica.newest, replica.revision, changes.newest});
   return changed_items;
 }
 
 StoreChanges ChangesAfter(const StoreReplica& replica, uint64_t revision) {
   StoreChanges changes;
   changes.up_to = replica.revision;
+  changes.newest = replica.newest;
   changes.after = revision;
-  changes.whole = revision == 0 || revision < replica.recent_after;
+  const bool lies_in_compared_span = replica.compared &&
+                                     revision > replica.compared->after &&
+                                     revision < replica.compared->up_to;
+  changes.whole =
+      revision == 0 || revision < replica.recent_after || lies_in_compared_span;
   if (changes.whole) {
     changes.after = 0;
     for (const auto& [key, item] : replica.items)
       changes.items.push_back(item);
     return changes;
   }
+  if (replica.compared && revision < replica.compared->up_to)
+    changes.compared = replica.compared;
   // A follower needs only the latest state of each key.
   std::map<std::string, uint64_t> changed;
   for (const RecentChange& change : replica.recent) {
--- a/src/process/registry/store_replica.h
+++ b/src/process/registry/store_replica.h
@@ -4,7 +4,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -12,12 +11,22 @@
 
 namespace mangodoor {
 
+/** Revisions above `after`, up to `up_to`. */
+struct RevisionSpan {
+  uint64_t after = 0;
+  uint64_t up_to = 0;
+};
+
 /** Changes of the store after one revision, up to another one. */
 struct StoreChanges {
   /** The receiver must have all changes up to this; 0 for a full copy. */
   uint64_t after = 0;
   /** The receiver's revision once it has applied the changes. */
   uint64_t up_to = 0;
+  /** As in StoreReplica. */
+  uint64_t newest = 0;
+  /** As in StoreReplica; unset for a full copy. */
+  std::optional<RevisionSpan> compared;
   /** True if `items` is a full copy of the store at `up_to`. */
   bool whole = false;
   std::vector<StoreItem> items;
@@ -29,16 +38,25 @@
   uint64_t revision = 0;
 };
 
-/** A copy of the platform's store, complete up to one revision. */
+/**
+ * A copy of the platform's store. It has every change up to `revision`, and
+ * can have some of the later ones, up to `newest`.
+ */
 struct StoreReplica {
   /** Items by key. */
   std::map<std::string, StoreItem> items;
   /** 0 before the first full copy. */
   uint64_t revision = 0;
+  uint64_t newest = 0;
   /** Keys of the latest changes, oldest first, for updates to followers. */
   std::deque<RecentChange> recent;
-  /** `recent` holds every change after this revision. */
+  /** `recent` holds every change after this revision, but for `compared`. */
   uint64_t recent_after = 0;
+  /**
+   * A span whose changes are known only by comparing two full copies: `recent`
+   * lacks the keys that were both added and deleted within it.
+   */
+  std::optional<RevisionSpan> compared;
 };
 
 /** A full read of the store, page by page. */
@@ -81,7 +99,11 @@
 std::vector<StoreItem> ApplyChanges(StoreReplica& replica,
                                     const StoreChanges& changes);
 
-/** True if `changes` leave no gap and are not older than the replica. */
+/**
+ * True if `changes` leave no gap and are not older than the replica. Changes
+ * that were found by comparing copies leave a gap for a replica that has some,
+ * but not all of those in between.
+ */
 bool CanApply(const StoreReplica& replica, const StoreChanges& changes);
 
 /** The changes for an instance that has all changes up to `revision`. */
--- a/tests/peers/peer_codec_test.cc
+++ b/tests/peers/peer_codec_test.cc
@@ -75,6 +75,40 @@
   EXPECT_EQ(heartbeat.spare.front().tokens, 5);
 }
 
+// Guards against changes that lose the span which only a comparison of copies
+// covers, so that a follower applies what does not fit its copy.
+TEST(PeerCodecTest, FeedUpdateKeepsItsSpans) {
+  FeedUpdate update;
+  update.changes.after = 10;
+  update.changes.up_to = 20;
+  update.changes.newest = 22;
+  update.changes.compared = RevisionSpan{10, 20};
+  StoreItem item;
+  item.key = "servers/a";
+  item.value = "v";
+  item.revision = 15;
+  update.changes.items = {item};
+  const auto decoded =
+      std::get<FeedUpdate>(DecodePeerMessage(EncodePeerMessage(update)));
+  EXPECT_EQ(decoded.changes.newest, 22U);
+  ASSERT_TRUE(decoded.changes.compared);
+  EXPECT_EQ(decoded.changes.compared->after, 10U);
+  EXPECT_EQ(decoded.changes.compared->up_to, 20U);
+  ASSERT_EQ(decoded.changes.items.size(), 1U);
+  EXPECT_EQ(decoded.changes.items[0].revision, 15U);
+}
+
+// Guards against an instance that breaks off the links to instances of the
+// version before, while a fleet is replaced.
+TEST(PeerCodecTest, FeedUpdateOfAnEarlierVersionIsRead) {
+  FeedUpdate update;
+  update.changes.up_to = 20;
+  Json json = Json::from_cbor(EncodePeerMessage(update));
+  json.erase("newest");
+  const auto decoded = std::get<FeedUpdate>(DecodePeerMessage(Cbor(json)));
+  EXPECT_EQ(decoded.changes.newest, 20U);
+}
+
 // Guards against rejecting messages of newer instances that have more fields.
 TEST(PeerCodecTest, UnknownFieldsAreIgnored) {
   Json json = HeartbeatJson();
--- a/tests/registry/registry_sim_test.cc
+++ b/tests/registry/registry_sim_test.cc
@@ -153,8 +153,8 @@
       *sim.instance(0).feed, InstanceId("late"), FeedRequest{before});
   ASSERT_EQ(actions.messages.size(), 1U);
   const auto& update = std::get<FeedUpdate>(actions.messages[0].message);
-  ASSERT_EQ(update.items.size(), 1U);
-  EXPECT_EQ(update.items[0].value, "49");
+  ASSERT_EQ(update.changes.items.size(), 1U);
+  EXPECT_EQ(update.changes.items[0].value, "49");
 }
 
 // Guards against a data centre without changes while the store refuses all its
--- a/tests/registry/store_replica_test.cc
+++ b/tests/registry/store_replica_test.cc
@@ -145,6 +145,61 @@
   EXPECT_EQ(replica.revision, 12U);
 }
 
+/** A replica that has reloaded the store, at 10 before and at 20 after. */
+StoreReplica ReloadedReplica() {
+  StoreReplica replica = LoadedReplica();
+  StoreReload reload;
+  reload.revision = 20;
+  for (const auto& item : {MakeItem("a", 3), MakeItem("b", 17)})
+    reload.items[item.key] = item;
+  ApplyReload(replica, reload);
+  return replica;
+}
+
+// Guards against a key that was added and deleted while the store's history was
+// compacted: the instance that reloaded the store never saw it, and a follower
+// that did, from another reader, kept it for ever.
+TEST(StoreReplicaTest, ReloadIsNoDifferenceForFollowersInBetween) {
+  const StoreReplica replica = ReloadedReplica();
+  StoreReplica follower = LoadedReplica();
+  ApplyChanges(follower, MakeChanges(10, 15, {MakeItem("c", 12)}));
+  // The difference that the follower gets if its last message was overtaken.
+  EXPECT_TRUE(ApplyChanges(follower, ChangesAfter(replica, 10)).empty());
+  EXPECT_EQ(follower.revision, 15U);
+  ApplyChanges(follower, ChangesAfter(replica, 15));
+  EXPECT_EQ(follower.items.count("c"), 0U);
+  EXPECT_EQ(follower.revision, 20U);
+  EXPECT_FALSE(ChangesAfter(replica, 10).whole);
+}
+
+// Guards against the same fault one instance further: a follower passes on a
+// difference that others cannot use.
+TEST(StoreReplicaTest, FollowersPassOnWhatTheyKnowByComparison) {
+  StoreReplica follower = LoadedReplica();
+  ApplyChanges(follower, ChangesAfter(ReloadedReplica(), 10));
+  EXPECT_EQ(follower.revision, 20U);
+  EXPECT_TRUE(ChangesAfter(follower, 15).whole);
+}
+
+// Guards against a key that a newer page no longer had, so that the instance
+// cannot tell others of its deletion when it reloads the store.
+TEST(StoreReplicaTest, ReloadOfACopyOfMixedAgeIsNoDifference) {
+  StoreReplica replica;
+  StoreReload mixed;
+  mixed.revision = 10;
+  mixed.newest_page = 14;
+  mixed.items["a"] = MakeItem("a", 3);
+  ApplyReload(replica, mixed);
+  // "b" existed until 12, which the newer page showed.
+  StoreReplica follower = LoadedReplica();
+  StoreReload reload;
+  reload.revision = 20;
+  reload.items["a"] = MakeItem("a", 3);
+  ApplyReload(replica, reload);
+  ApplyChanges(follower, ChangesAfter(replica, 10));
+  EXPECT_EQ(follower.items.count("b"), 0U);
+}
+
 // Guards against a follower that gets changes with a gap after its own.
 TEST(StoreReplicaTest, FollowersGetMissingChanges) {
   StoreReplica replica = LoadedReplica();
