Read all pages of a reload with one consistency

Which pages may be stale was decided in two places: for the first page by StartPage(), which keeps to current ones after a compaction, and for the others by FinishStoreRead(), which does not. An instance without a copy after a compaction would have read a current page and then stale ones, and with the revision of the oldest page its watch would fail again.

The reload keeps its consistency, and NextPage() is the only place that starts a page. FeedReaderTest.AllPagesOfAReloadHaveOneConsistency would fail before for the page after a compaction.

--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -144,10 +144,7 @@
   if (kind == StoreAnswer::Kind::kItems) {
     if (feed.reader.phase == FeedReader::Phase::kReloading) {
       if (!AddPage(feed.reader.reload, std::move(answer))) {
-        actions.read.kind = ReadStart::Kind::kPage;
-        actions.read.after_key = feed.reader.reload.after_key;
-        actions.read.consistency = before == 0 ? ReadConsistency::kMayBeStale
-                                               : ReadConsistency::kCurrent;
+        actions.read = NextPage(feed.reader);
         return actions;
       }
       actions.reloaded = SummaryOf(feed.reader.reload);
--- a/src/process/registry/feed_reader.cc
+++ b/src/process/registry/feed_reader.cc
@@ -48,20 +48,15 @@
   return std::min(kMaxRetryDelay, kFirstRetryDelay * (1 << doublings));
 }
 
-ReadStart StartPage(FeedReader& reader, const ReaderInputs& inputs) {
-  if (reader.phase != FeedReader::Phase::kReloading)
-    reader.reload = StoreReload();
+ReadStart StartReload(FeedReader& reader, const ReaderInputs& inputs) {
   reader.phase = FeedReader::Phase::kReloading;
-  ReadStart start;
-  start.kind = ReadStart::Kind::kPage;
-  start.after_key = reader.reload.after_key;
+  reader.reload = StoreReload();
   // A stale read costs a tenth of a current one, and is enough for the first
   // copy: the watch returns the later changes. After a compaction, a stale copy
   // could be older than the compacted revision again.
-  start.consistency = inputs.revision == 0 && !reader.history_compacted
-                          ? ReadConsistency::kMayBeStale
-                          : ReadConsistency::kCurrent;
-  return start;
+  if (inputs.revision == 0 && !reader.history_compacted)
+    reader.reload.consistency = ReadConsistency::kMayBeStale;
+  return NextPage(reader);
 }
 
 ReadStart StartWatch(FeedReader& reader, const ReaderInputs& inputs) {
@@ -87,10 +82,18 @@
   reader.started = inputs.now;
   reader.not_before.reset();
   return inputs.revision == 0 || reader.history_compacted
-             ? StartPage(reader, inputs)
+             ? StartReload(reader, inputs)
              : StartWatch(reader, inputs);
 }
 
+ReadStart NextPage(const FeedReader& reader) {
+  ReadStart start;
+  start.kind = ReadStart::Kind::kPage;
+  start.after_key = reader.reload.after_key;
+  start.consistency = reader.reload.consistency;
+  return start;
+}
+
 void FinishRead(FeedReader& reader,
                 StoreAnswer::Kind kind,
                 bool had_changes,
--- a/src/process/registry/feed_reader.h
+++ b/src/process/registry/feed_reader.h
@@ -67,6 +67,9 @@
 /** Chooses the read to start now, if any, and records its start. */
 ReadStart PlanRead(FeedReader& reader, const ReaderInputs& inputs);
 
+/** The next page of the running reload. */
+ReadStart NextPage(const FeedReader& reader);
+
 /**
  * Records the end of a read, but not of a page that is followed by another one.
  * After a watch with changes, the next one is delayed, so that it returns
--- a/src/process/registry/store_replica.h
+++ b/src/process/registry/store_replica.h
@@ -71,6 +71,8 @@
   /** The last key read; the next page begins after it. */
   std::string after_key;
   int pages = 0;
+  /** The same for all pages of a reload. */
+  ReadConsistency consistency = ReadConsistency::kCurrent;
 };
 
 /** What a full read consisted of, for logs. */
--- a/tests/registry/feed_reader_test.cc
+++ b/tests/registry/feed_reader_test.cc
@@ -1,4 +1,4 @@
-#include "process/registry/feed_reader.h"
+#include "process/registry/feed.h"
 
 #include <gtest/gtest.h>
 
@@ -49,6 +49,30 @@
   EXPECT_TRUE(IsReading(reader));
 }
 
+// Guards against a reload after a compaction that goes on with stale pages:
+// their copy can be older than what the store has compacted, and the watch from
+// it would fail again.
+TEST(FeedReaderTest, AllPagesOfAReloadHaveOneConsistency) {
+  for (const bool compacted : {false, true}) {
+    Feed feed;
+    feed.reader.history_compacted = compacted;
+    const ReadStart first = TickFeed(feed, {}, At(0)).read;
+    ASSERT_EQ(first.kind, ReadStart::Kind::kPage);
+    EXPECT_EQ(first.consistency, compacted ? ReadConsistency::kCurrent
+                                           : ReadConsistency::kMayBeStale);
+    StoreAnswer page;
+    page.kind = StoreAnswer::Kind::kItems;
+    page.revision = 7;
+    page.more = true;
+    page.items.resize(1);
+    page.items[0].key = "a";
+    const ReadStart second =
+        FinishStoreRead(feed, {}, std::move(page), At(10)).read;
+    EXPECT_EQ(second.after_key, "a");
+    EXPECT_EQ(second.consistency, first.consistency);
+  }
+}
+
 // Guards against a retry delay that is lost while another instance reads.
 TEST(FeedReaderTest, RetryDelayIsKeptWhileAnotherReads) {
   FeedReader reader = ReaderAfterWatch();
