Apply the deadline until the whole response was received

Cause: ForwardResponse() gave up the deadline once a response was forwarded; after that only the time without progress was limited, on purpose, for long bodies on slow connections. That contradicts the limit of a route, the longest time that an operator wants a caller kept waiting.

Change: the deadline applies until the whole response was received. Then the attempt is aborted, and the caller's connection is reset, also while it does not read and for HTTP/1.0, where a close would look like the end. What was received by the deadline is delivered later too. The server is released before the last write, so that a slow caller does not hold it. The wait for a silent server is no longer cut after 10 s within the deadline. The log line of such a request has the error; it had status 200 and none.

--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -9,7 +9,6 @@
 #include "process/tables.h"
 #include "request/deadline.h"
 #include "request/io/request_log.h"
-#include "request/io/response_relay.h"
 #include "version/io/digest.h"
 
 namespace mangodoor {
@@ -341,36 +340,66 @@
   race_.Release(report);
 }
 
+// The deadline applies until the whole response was received: a server that
+// never ends its response must not keep the caller waiting. What was received
+// by then is delivered also later.
 bool RequestHandler::ForwardResponse(YieldContext yield) {
-  // From here on, only the time without progress is limited and not the total
-  // time: a long body on a slow connection is not an error.
-  race_.StopWatchingDeadline();
-  const std::shared_ptr<BackendAttempt> attempt = race_.attempt();
   const RelayOptions options{header_.version() == kHttp10, request_.is_head,
                              ClosesAfterResponse()};
+  std::string rest;
+  // A caller that does not read must not hold up the end of the response.
+  interrupt_wait_ = [this] { stream_.Reset(); };
   const RelayEnd end =
-      RelayResponse(*attempt, stream_, context_, options, yield);
+      RelayResponse(*race_.attempt(), stream_, context_, options, rest, yield);
+  interrupt_wait_ = nullptr;
+  race_.StopWatchingDeadline();
+  trace_.status = race_.attempt()->status();
+  FinishExchange(end, yield);
+  if (end != RelayEnd::kReceived)
+    return BreakOffResponse(end);
+  if (stream_.Write(rest, context_.limits.body_progress, yield))
+    return CloseCaller();
+  ++context_.tables.counters.answered;
+  return upload_.complete() && !options.close;
+}
+
+// Before the end of the response is written, so that the server can serve other
+// requests while the caller reads.
+void RequestHandler::FinishExchange(RelayEnd end, YieldContext yield) {
+  const std::shared_ptr<BackendAttempt> attempt = race_.attempt();
   // A server that has answered early may never read the rest of the body.
   const bool exchange_complete =
-      end == RelayEnd::kComplete && upload_.complete() && !upload_.streaming();
+      end == RelayEnd::kReceived && upload_.complete() && !upload_.streaming();
   if (!exchange_complete)
     attempt->Abort(AttemptReport::End::kCancelled);
   upload_.Stop(yield);
-  const int status = attempt->status();
-  trace_.status = status;
-  if (end == RelayEnd::kComplete) {
-    ++context_.tables.counters.answered;
-    attempt->Finish(ResultOf(attempt->report(), status), exchange_complete);
-    return exchange_complete && !options.close;
+  attempt->Finish(ResultOfRelay(end), exchange_complete);
+}
+
+AttemptResult::End RequestHandler::ResultOfRelay(RelayEnd end) const {
+  switch (end) {
+    case RelayEnd::kReceived:
+      return ResultOf(race_.attempt()->report(), race_.attempt()->status());
+    case RelayEnd::kCallerGone:
+      return AttemptResult::End::kCancelled;
+    case RelayEnd::kServerFailed:
+      break;
   }
-  const bool caller_gone = end == RelayEnd::kCallerGone || interrupted_;
-  attempt->Finish(
-      caller_gone ? AttemptResult::End::kCancelled : AttemptResult::End::kReset,
-      false);
-  if (caller_gone)
+  if (interrupted_ == AttemptReport::End::kDeadline)
+    return AttemptResult::End::kTimeout;
+  return interrupted_ ? AttemptResult::End::kCancelled
+                      : AttemptResult::End::kReset;
+}
+
+// A reset shows the caller that the response is not complete, whatever its
+// framing.
+bool RequestHandler::BreakOffResponse(RelayEnd end) {
+  const bool late = interrupted_ == AttemptReport::End::kDeadline;
+  if (!late && (end == RelayEnd::kCallerGone || interrupted_))
     return CloseCaller();
-  ++context_.tables.counters
-        .errors[static_cast<size_t>(ErrorKind::kBackendBroken)];
+  trace_.error = late ? ErrorKind::kBackendTimeout : ErrorKind::kBackendBroken;
+  trace_.outcome = Outcome::kUnknown;
+  ++context_.tables.counters.errors[static_cast<size_t>(*trace_.error)];
   stream_.Reset();
   return false;
 }
--- a/src/request/io/request_handler.h
+++ b/src/request/io/request_handler.h
@@ -15,6 +15,7 @@
 #include "request/io/body_reader.h"
 #include "request/io/body_upload.h"
 #include "request/io/outgoing_request.h"
+#include "request/io/response_relay.h"
 
 namespace mangodoor {
 
@@ -60,6 +61,9 @@
   std::optional<ErrorKind> ReadBody(YieldContext yield);
   bool RunAttempts(YieldContext yield);
   bool ForwardResponse(YieldContext yield);
+  void FinishExchange(RelayEnd end, YieldContext yield);
+  AttemptResult::End ResultOfRelay(RelayEnd end) const;
+  bool BreakOffResponse(RelayEnd end);
   bool RunAndCatchErrors(YieldContext yield);
   void RecordTrace();
   void ObserveDurations() const;
@@ -95,8 +99,8 @@
   /** Set once the request has to end early. */
   std::optional<AttemptReport::End> interrupted_;
   /**
-   * Interrupts the wait for admission or for the body; null if there is no such
-   * wait.
+   * Interrupts the wait for admission, for the body or for the end of a
+   * response that is being forwarded; null if there is no such wait.
    */
   std::function<void()> interrupt_wait_;
 };
--- a/src/request/io/response_relay.cc
+++ b/src/request/io/response_relay.cc
@@ -3,8 +3,6 @@
 #include <boost/beast/http/error.hpp>
 #include <string>
 
-#include "process/clock.h"
-
 namespace mangodoor {
 namespace {
 
@@ -29,13 +27,8 @@
  * whose end is marked by the close.
  */
 boost::system::error_code ReadOrFinishBody(BackendAttempt& attempt,
-                                           Watchdog& watchdog,
-                                           const SessionContext& context,
                                            YieldContext yield) {
-  watchdog.Set(context.clock.Now() + context.limits.body_progress,
-               [&attempt] { attempt.Abort(AttemptReport::End::kDeadline); });
-  boost::system::error_code error = attempt.ReadSome(yield);
-  watchdog.Clear();
+  const boost::system::error_code error = attempt.ReadSome(yield);
   if (error == asio::error::eof && !attempt.aborted()) {
     boost::system::error_code end_error;
     attempt.response().parser.put_eof(end_error);
@@ -83,39 +76,35 @@
                        CallerStream& caller,
                        const SessionContext& context,
                        const RelayOptions& options,
+                       std::string& rest,
                        YieldContext yield) {
   ServerResponse& response = attempt.response();
   ResponseParser& parser = response.parser;
   const Framing framing = ResponseFraming(parser, response.header, options);
-  Watchdog& watchdog = caller.request_watchdog();
-  std::string out = ForwardedResponseHead(response.header, framing,
-                                          options.close, context.http_profile);
+  rest = ForwardedResponseHead(response.header, framing, options.close,
+                               context.http_profile);
   std::string decoded = std::move(response.buffered_body);
   for (;;) {
     if (DecodeBody(parser, attempt.buffer(), decoded, kRelayBufferSize)) {
       attempt.RecordFault(ResponseFault::kMalformedBody);
       return RelayEnd::kServerFailed;
     }
-    AppendBody(out, decoded, framing);
+    AppendBody(rest, decoded, framing);
     decoded.clear();
     if (parser.is_done()) {
       if (!options.head_only)
-        AppendBodyEnd(out, parser, framing, context.http_profile);
-      break;
+        AppendBodyEnd(rest, parser, framing, context.http_profile);
+      return RelayEnd::kReceived;
     }
     // The head does not wait for the body: the first write contains the part of
     // the body that has already arrived, if any.
     attempt.report().response_begun = true;
-    if (caller.Write(out, context.limits.body_progress, yield))
+    if (caller.Write(rest, context.limits.body_progress, yield))
       return RelayEnd::kCallerGone;
-    out.clear();
-    if (ReadOrFinishBody(attempt, watchdog, context, yield))
+    rest.clear();
+    if (ReadOrFinishBody(attempt, yield))
       return RelayEnd::kServerFailed;
   }
-  attempt.report().response_begun = true;
-  return caller.Write(out, context.limits.body_progress, yield)
-             ? RelayEnd::kCallerGone
-             : RelayEnd::kComplete;
 }
 
 }  // namespace mangodoor
--- a/src/request/request_trace.h
+++ b/src/request/request_trace.h
@@ -56,7 +56,7 @@
   ResponseFaults response_faults;
   /** Status of the response to the caller; 0 if there was none. */
   int status = 0;
-  /** Set if this instance answered with an error. */
+  /** Set if this instance answered with an error or broke off the response. */
   std::optional<ErrorKind> error;
   Outcome outcome = Outcome::kUnknown;
 };
--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -157,6 +157,47 @@
   EXPECT_FALSE(caller.timed_out());
 }
 
+// Guards against an HTTP/1.0 caller that takes a body for complete because the
+// instance closes the connection at the deadline.
+TEST_F(BodyTest, Http10CallerSeesThatBodyIsBrokenOff) {
+  route_timeout_ = std::chrono::milliseconds(300);
+  StartWith([](TestConnection& connection) {
+    connection.ReadHead();
+    connection.Write("HTTP/1.1 200 OK\r\n\r\nto the ");
+    connection.ClosedByPeer();
+  });
+  TestConnection caller = Connect();
+  caller.Write("GET /open HTTP/1.0\r\n\r\n");
+  EXPECT_THAT(caller.ReadHead(), HasSubstr("200 OK"));
+  caller.ReadAll();
+  EXPECT_TRUE(caller.reset_by_peer());
+}
+
+// Guards against a response that is broken off at the deadline although all of
+// it was received: it is delivered, also late.
+TEST_F(BodyTest, ReceivedResponseIsDeliveredAfterTheDeadline) {
+  constexpr size_t kSize = 8 * kMiB;
+  route_timeout_ = std::chrono::milliseconds(500);
+  std::atomic<bool> sent{false};
+  StartWith([&sent](TestConnection& connection) {
+    connection.ReadHead();
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kSize) +
+        "\r\n\r\n" + std::string(kSize, 'x'));
+    sent = true;
+    connection.ReadHead();
+  });
+  TestConnection caller = Connect();
+  caller.Write(kGet);
+  EXPECT_THAT(caller.ReadHead(), HasSubstr("200 OK"));
+  // All but what fits into the buffers of the sockets.
+  size_t received = caller.ReadExactly(kSize - kMiB / 4).size();
+  ASSERT_TRUE(Eventually([&sent] { return sent.load(); }));
+  std::this_thread::sleep_for(2 * route_timeout_);
+  received += caller.ReadExactly(kMiB / 4).size();
+  EXPECT_EQ(received, kSize);
+}
+
 // Guards against a caller that stops reading and holds a backend connection for
 // ever.
 TEST_F(BodyTest, StalledReaderIsDisconnected) {
