Do not promise 'not run', and notice callers that leave, after a long body

A sender that pauses was answered 408 although a part of its body had been sent to a server: PlanError() kept the status of errors that it does not name, and 408, 429 and 503 promise that a request has not run. All errors with such a status now become backend_timeout or backend_broken once the request may have run.

A caller that left after its whole body was streamed was not noticed, since only bodies that fit the buffer were followed by a watch for the hang-up. Its server worked on until the deadline. The watch now starts as soon as the upload has received the end of the body.

Tests: BodyTest.SlowBodyAfterStreamingHasUnknownOutcome (408 before) and CallerThatLeavesAfterStreamedBodyEndsAttempt (not ended after 5 s before).

--- a/src/request/attempt.cc
+++ b/src/request/attempt.cc
@@ -104,11 +104,18 @@
   const ErrorAnswer& answer = AnswerFor(error);
   if (!history.may_have_run || answer.outcome != Outcome::kNotRun)
     return {error, answer.outcome};
+  // The status of the returned error must not promise that the request did not
+  // run, as 408, 429 and 503 do.
   switch (error) {
     case ErrorKind::kDeadlineExceeded:
+    case ErrorKind::kRequestTimeout:
       return {ErrorKind::kBackendTimeout, Outcome::kUnknown};
+    case ErrorKind::kRateExceeded:
     case ErrorKind::kNoServer:
     case ErrorKind::kQueueFull:
+    case ErrorKind::kConfigurationMissing:
+    case ErrorKind::kConfigurationStale:
+    case ErrorKind::kStopping:
     case ErrorKind::kBackendRefused:
     case ErrorKind::kBackendUnreachable:
       return {ErrorKind::kBackendBroken, Outcome::kUnknown};
--- a/src/request/io/body_upload.cc
+++ b/src/request/io/body_upload.cc
@@ -59,7 +59,8 @@
   return out;
 }
 
-void BodyUpload::Start(const std::shared_ptr<BackendAttempt>& attempt) {
+void BodyUpload::Start(const std::shared_ptr<BackendAttempt>& attempt,
+                       std::function<void()> on_received) {
   if (parser_.is_done())
     return;
   streaming_ = true;
@@ -68,15 +69,19 @@
   attempt->report().body_dropped = true;
   buffered_ = std::string();
   // Stop() is always called and waits, so `this` outlives the coroutine.
-  asio::spawn(stream_.executor(), [this, attempt](YieldContext yield) {
-    try {
-      StreamBody(*attempt, yield);
-    } catch (const std::exception&) {
-      attempt->Abort(AttemptReport::End::kCallerFault);
-    }
-    streaming_ = false;
-    ended_.NotifySoon(stream_.executor());
-  });
+  asio::spawn(stream_.executor(),
+              [this, attempt,
+               on_received = std::move(on_received)](YieldContext yield) {
+                try {
+                  StreamBody(*attempt, yield);
+                } catch (const std::exception&) {
+                  attempt->Abort(AttemptReport::End::kCallerFault);
+                }
+                if (complete() && !stopping_)
+                  on_received();
+                streaming_ = false;
+                ended_.NotifySoon(stream_.executor());
+              });
 }
 
 void BodyUpload::StreamBody(BackendAttempt& attempt, YieldContext yield) {
--- a/src/request/io/body_upload.h
+++ b/src/request/io/body_upload.h
@@ -2,6 +2,7 @@
 #define REQUEST_IO_BODY_UPLOAD_H_
 
 #include <boost/asio/spawn.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -39,8 +40,12 @@
   bool streaming() const { return streaming_; }
   bool has_buffered() const { return !buffered_.empty(); }
 
-  /** Streams the rest of the body, if any, to `attempt` in a new coroutine. */
-  void Start(const std::shared_ptr<BackendAttempt>& attempt);
+  /**
+   * Streams the rest of the body, if any, to `attempt` in a new coroutine.
+   * `on_received` is called once the caller has sent all of it.
+   */
+  void Start(const std::shared_ptr<BackendAttempt>& attempt,
+             std::function<void()> on_received);
 
   /** Stops the streaming, if it is still running, and waits for its end. */
   void Stop(YieldContext yield);
--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -298,10 +298,11 @@
 }
 
 bool RequestHandler::RunAttempts(YieldContext yield) {
-  if (upload_.complete()) {
-    stream_.WatchForHangUp(
-        [this] { Interrupt(AttemptReport::End::kCallerGone); });
-  }
+  if (upload_.complete())
+    WatchForHangUp();
+  const auto start_upload = [this] {
+    upload_.Start(race_.attempt(), [this] { WatchForHangUp(); });
+  };
   for (;;) {
     const AttemptRace::Choice choice = race_.ChooseServer(yield);
     if (const auto* error = std::get_if<ErrorKind>(&choice)) {
@@ -309,9 +310,8 @@
         return CloseCaller();
       return SendError(PlanError(*error, history_), yield);
     }
-    const AttemptReport report = race_.Run(
-        std::get<ChosenServer>(choice), history_,
-        [this] { upload_.Start(race_.attempt()); }, yield);
+    const AttemptReport report = race_.Run(std::get<ChosenServer>(choice),
+                                           history_, start_upload, yield);
     history_ = AddAttempt(history_, report);
     const Duration remaining = request_.deadline - Now();
     AttemptDecision decision =
@@ -404,6 +404,13 @@
   return false;
 }
 
+// Only once the whole body was received: until then, its reader notices that
+// the caller has left.
+void RequestHandler::WatchForHangUp() {
+  stream_.WatchForHangUp(
+      [this] { Interrupt(AttemptReport::End::kCallerGone); });
+}
+
 bool RequestHandler::CloseCaller() {
   ++context_.tables.counters.cancelled;
   stream_.Close();
--- a/src/request/io/request_handler.h
+++ b/src/request/io/request_handler.h
@@ -70,6 +70,7 @@
   bool SendError(const ErrorPlan& plan, YieldContext yield);
   bool SendResponse(const std::string& response, YieldContext yield);
   bool CloseCaller();
+  void WatchForHangUp();
   const std::string& KeyDigest();
   /** True if the connection is closed after the response. */
   bool ClosesAfterResponse() const;
--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -114,6 +114,42 @@
                                       HasSubstr("Outcome: unknown")));
 }
 
+// Guards against status 408, which promises that a request has not run, for one
+// of whose body a server had a part already.
+TEST_F(BodyTest, SlowBodyAfterStreamingHasUnknownOutcome) {
+  limits_.body_progress = std::chrono::milliseconds(200);
+  StartWith([](TestConnection& connection) {
+    connection.ReadHead();
+    connection.ClosedByPeer();
+  });
+  TestConnection caller = Connect();
+  caller.Write(
+      "POST /open HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n" +
+      std::string(100000, 'x'));
+  EXPECT_THAT(caller.ReadAll(),
+              AllOf(HasSubstr("HTTP/1.1 504"), HasSubstr("Outcome: unknown")));
+}
+
+// Guards against a server that works on for a caller who has left after sending
+// a body of more than is buffered.
+TEST_F(BodyTest, CallerThatLeavesAfterStreamedBodyEndsAttempt) {
+  constexpr size_t kSize = 300 * 1024;
+  route_timeout_ = std::chrono::seconds(60);
+  std::atomic<bool> received{false};
+  std::atomic<bool> ended{false};
+  StartWith([&](TestConnection& connection) {
+    connection.ReadHead();
+    received = connection.ReadExactly(kSize).size() == kSize;
+    ended = connection.ClosedByPeer();
+  });
+  TestConnection caller = Connect();
+  caller.Write("POST /open HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+               std::to_string(kSize) + "\r\n\r\n" + std::string(kSize, 'x'));
+  ASSERT_TRUE(Eventually([&received] { return received.load(); }));
+  caller.Close();
+  EXPECT_TRUE(Eventually([&ended] { return ended.load(); }));
+}
+
 // Guards against a body of which the rest is not sent, because the first
 // attempt ended before any of it was.
 TEST_F(BodyTest, RetryAfterRefusedConnectionSendsTheWholeBody) {
