Reload the store after a watch with an unusable answer

Cause: a watch returns all changes in one answer, which can exceed the 8 MiB that the store client accepts. The reader took that for an outage and sent the same watch again, which could only get the same answer or a longer one, until the store forgot the changes.

Change: an answer that is too large, takes too long to transfer or cannot be decoded is of the kind kUnusable. After a watch with one, the whole store is read, as after a compaction; the delay before that grows while watches go on ending like this.

--- a/src/process/registry/feed_reader.cc
+++ b/src/process/registry/feed_reader.cc
@@ -43,8 +43,9 @@
              TakeOverDelay(inputs.rank);
 }
 
-Duration RetryDelay(const FeedReader& reader) {
-  const int doublings = std::clamp(reader.failures - 1, 0, 8);
+/** The delay after `failures` failed reads in a row. */
+Duration RetryDelay(int failures) {
+  const int doublings = std::clamp(failures - 1, 0, 8);
   return std::min(kMaxRetryDelay, kFirstRetryDelay * (1 << doublings));
 }
 
@@ -54,7 +55,7 @@
   // A stale read costs a tenth of a current one, and is enough for the first
   // copy: the watch returns the later changes. After a compaction, a stale copy
   // could be older than the compacted revision again.
-  if (inputs.revision == 0 && !reader.history_compacted)
+  if (inputs.revision == 0 && !reader.needs_reload)
     reader.reload.consistency = ReadConsistency::kMayBeStale;
   return NextPage(reader);
 }
@@ -81,7 +82,7 @@
     return {};
   reader.started = inputs.now;
   reader.not_before.reset();
-  return inputs.revision == 0 || reader.history_compacted
+  return inputs.revision == 0 || reader.needs_reload
              ? StartReload(reader, inputs)
              : StartWatch(reader, inputs);
 }
@@ -103,19 +104,29 @@
   if (kind == StoreAnswer::Kind::kItems) {
     reader.failures = 0;
     if (was_reload)
-      reader.history_compacted = false;
+      reader.needs_reload = false;
+    else
+      reader.unusable_watches = 0;
     reader.not_before = now + (had_changes ? kBatchingDelay : Duration::zero());
     return;
   }
   if (kind == StoreAnswer::Kind::kCompacted) {
-    reader.history_compacted = true;
+    reader.needs_reload = true;
     reader.not_before = now;
     return;
   }
+  // The same watch would get the same answer until the store compacts its
+  // history, or a longer one. A reload has one state of each key.
+  if (kind == StoreAnswer::Kind::kUnusable && !was_reload) {
+    reader.needs_reload = true;
+    ++reader.unusable_watches;
+    reader.not_before = now + RetryDelay(reader.unusable_watches);
+    return;
+  }
   ++reader.failures;
   const bool is_follower = !reader.lower_rank_idle_since;
   reader.not_before =
-      now + (is_follower ? kFollowerRetryDelay : RetryDelay(reader));
+      now + (is_follower ? kFollowerRetryDelay : RetryDelay(reader.failures));
 }
 
 bool IsReading(const FeedReader& reader) {
--- a/src/process/registry/feed_reader.h
+++ b/src/process/registry/feed_reader.h
@@ -20,8 +20,13 @@
   std::optional<TimePoint> not_before;
   /** Failed reads since the last successful one. */
   int failures = 0;
-  /** The store has compacted its history, so the replica needs a reload. */
-  bool history_compacted = false;
+  /**
+   * A watch cannot bring the replica up to date: the store has compacted its
+   * history, or its answer is unusable. The whole store is read instead.
+   */
+  bool needs_reload = false;
+  /** Watches with an unusable answer since the last usable one. */
+  int unusable_watches = 0;
   StoreReload reload;
   /**
    * When it was first seen that no instance of lower rank reads the store;
--- a/src/process/registry/platform_store.h
+++ b/src/process/registry/platform_store.h
@@ -30,8 +30,13 @@
     kCompacted,
     /** The store refused the request. */
     kRefused,
-    /** No answer, or one that could not be decoded. */
+    /** No answer, or only a part of one. */
     kUnavailable,
+    /**
+     * An answer that is too large, takes too long to transfer or cannot be
+     * decoded. The same read would probably end in the same way.
+     */
+    kUnusable,
   };
   Kind kind = Kind::kUnavailable;
   /** Ordered by key for a page, by revision for a watch. */
--- a/tests/registry/registry_sim_test.cc
+++ b/tests/registry/registry_sim_test.cc
@@ -202,6 +202,22 @@
   EXPECT_LT(sim.store_requests() - before, 120);
 }
 
+// Guards against a fleet that stays on an old version while the changes of a
+// burst are larger than an answer may be (review/2).
+TEST(RegistrySimTest, BurstOfLargeChangesIsInForceInTime) {
+  RegistrySim sim(2, 3, kPageSize);
+  PutServers(sim, 12);
+  sim.RunFor(seconds(3));
+  sim.store().max_usable_changes = 6;
+  for (int i = 0; i < 25; ++i) {
+    for (const char* part : {"a", "b"})
+      sim.store().Put("op/config", part + std::to_string(i));
+    sim.RunFor(milliseconds(50));
+  }
+  sim.RunFor(kPropagationBound);
+  EXPECT_TRUE(sim.AllCurrent());
+}
+
 /** What happens to an entry between the revisions of two pages. */
 enum class MissedChange { kWritten, kDeleted, kAdded };
 
@@ -247,6 +263,8 @@
   sim.RunFor(seconds(1));
   sim.SetStaleLags(*rc::gen::nonEmpty(rc::gen::container<std::vector<uint64_t>>(
       rc::gen::inRange<uint64_t>(0, 12))));
+  sim.store().max_usable_changes =
+      *rc::gen::element<size_t>(SIZE_MAX, SIZE_MAX, 4);
   const int faults = *rc::gen::inRange(1, 30);
   for (int i = 0; i < faults; ++i) {
     const int index = *rc::gen::inRange(0, sim.size());
--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -76,6 +76,8 @@
     if (item.revision > revision)
       answer.items.push_back(item);
   }
+  if (answer.items.size() > max_usable_changes)
+    answer.kind = StoreAnswer::Kind::kUnusable;
   return answer;
 }
 
--- a/tests/registry/store_sim.h
+++ b/tests/registry/store_sim.h
@@ -22,6 +22,8 @@
   void Delete(const std::string& key);
   /** Discards the history up to now. */
   void Compact();
+  /** Answers to a watch with more changes than this are unusable. */
+  size_t max_usable_changes = SIZE_MAX;
   StoreAnswer Page(const std::string& after_key) const {
     return StalePage(after_key, revision_);
   }
