Spread the first requests of all instances to a cold server

Cause: the rate of a cold server is divided among the 23 instances of its data centre. An instance with less than one request a second keeps an interval between two requests, but sent the first one at once, and all instances learn of a cold server within a moment. Evidence: the busiest second had requests from 11 instances, each its first or second one.

Change: the first request waits for a part of the interval, given by the place of the instance in its data centre.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -423,8 +423,12 @@
 InstanceShares FleetProcess::ComputeInstanceShares(
     const FleetView& view) const {
   InstanceShares shares;
-  for (const Member& member : view.live)
+  for (const Member& member : view.live) {
+    if (member.id == view.self.id)
+      shares.phase = shares.instances[member.data_centre];
     ++shares.instances[member.data_centre];
+  }
+  shares.phase /= std::max(1, shares.instances[view.self.data_centre]);
   const double requests_per_s = RequestRatePerDataCentre(view);
   for (const auto& [data_centre, count] : shares.instances) {
     const auto advertised_instances =
--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -10,6 +10,8 @@
 }  // namespace
 
 void SetColdFor(ColdWindow& window, Duration remaining, TimePoint now) {
+  if (!IsCold(window, now))
+    window.began = now;
   if (remaining > Duration::zero())
     window.until = now + remaining;
   else
@@ -20,18 +22,27 @@
   return now < window.until;
 }
 
-bool MaySendCold(const ColdWindow& window, double rate_per_s, TimePoint now) {
-  if (rate_per_s <= 0 || !IsCold(window, now))
+// The instances of a large fleet have less than one request a second each. If
+// all of them sent the first one at once, they would exceed the limit of the
+// server together, so that their phases differ.
+bool MaySendCold(const ColdWindow& window,
+                 const ColdLimit& limit,
+                 TimePoint now) {
+  if (limit.rate_per_s <= 0 || !IsCold(window, now))
     return true;
-  if (rate_per_s < 1) {
-    const auto interval = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(1 / rate_per_s));
-    return !window.last_sent || now - *window.last_sent >= interval;
+  if (limit.rate_per_s < 1) {
+    const std::chrono::duration<double> interval(1 / limit.rate_per_s);
+    const auto earliest =
+        window.last_sent
+            ? *window.last_sent + std::chrono::duration_cast<Duration>(interval)
+            : window.began +
+                  std::chrono::duration_cast<Duration>(interval * limit.phase);
+    return now >= earliest;
   }
   const auto recent =
       std::count_if(window.sent.begin(), window.sent.end(),
                     [now](TimePoint sent) { return now - sent < kRateWindow; });
-  return recent < static_cast<int>(rate_per_s);
+  return recent < static_cast<int>(limit.rate_per_s);
 }
 
 void RecordSent(ColdWindow& window, TimePoint now) {
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -10,6 +10,8 @@
 
 /** Cold phase of a server that reports how much longer it stays cold. */
 struct ColdWindow {
+  /** When this instance learned that the server is cold. */
+  TimePoint began{};
   TimePoint until{};
   /** Times of the requests sent in the last second while it was cold. */
   std::deque<TimePoint> sent;
@@ -21,11 +23,21 @@
 
 bool IsCold(const ColdWindow& window, TimePoint now);
 
-/**
- * True if one more request may be sent now. `rate_per_s` limits the requests of
- * this instance while the server is cold; 0 means no limit.
- */
-bool MaySendCold(const ColdWindow& window, double rate_per_s, TimePoint now);
+/** This instance's part of the requests that a cold server may get. */
+struct ColdLimit {
+  /** 0 means no limit. */
+  double rate_per_s = 0;
+  /**
+   * Part of the interval between two requests, from 0 to 1, that passes before
+   * the first one if the rate is below one a second.
+   */
+  double phase = 0;
+};
+
+/** True if one more request may be sent now. */
+bool MaySendCold(const ColdWindow& window,
+                 const ColdLimit& limit,
+                 TimePoint now);
 
 /** Records a request sent at `now`, if the server is cold. */
 void RecordSent(ColdWindow& window, TimePoint now);
--- a/src/process/servers/instance_shares.h
+++ b/src/process/servers/instance_shares.h
@@ -18,6 +18,11 @@
   std::map<DataCentreId, int> advertised_instances;
   /** True if this instance is one of the advertised instances. */
   bool is_advertised = false;
+  /**
+   * From 0 to 1, and another one at each instance of the data centre: spreads
+   * what all of them would do at the same time.
+   */
+  double phase = 0;
 };
 
 /** Number of running instances in the fleet, at least 1. */
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -71,9 +71,9 @@
                    TimePoint now) {
   if (!server.own_data_centre && HasInstance(pool.shares, server.data_centre))
     return false;
-  return MaySendCold(
-      server.cold_window,
-      service.cold_rate_per_s * OwnShare(pool.shares, server.data_centre), now);
+  const double rate_per_s =
+      service.cold_rate_per_s * OwnShare(pool.shares, server.data_centre);
+  return MaySendCold(server.cold_window, {rate_per_s, pool.shares.phase}, now);
 }
 
 void ServeAllQueues(ServerPool& pool, TimePoint now) {
