Close inherited connections in the children of the test harness

Cause: ChildProcess forks and executes without closing the descriptors of the soak. An instance or server that is started during a run inherits the sockets of all relays, so that a connection that a relay closes or resets stays open for the caller.

UnavailableWithBrokenBodyEndsAtOnce, written to find the fault in the instance, passes and stays.

--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -662,6 +662,25 @@
       return info.param.name;
     });
 
+// Guards against a caller that waits for the end of a response of which nothing
+// can be forwarded: found by the soak, seed 4011.
+TEST_F(SigningServerTest, UnavailableWithBrokenBodyEndsAtOnce) {
+  for (const bool keeps_open : {false, true}) {
+    StartAgainWith([keeps_open](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(
+          "HTTP/1.1 502 Bad\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "xyz\r\n");
+      if (keeps_open)
+        connection.ClosedByPeer();
+    });
+    TestConnection caller = Connect();
+    caller.Write(Post("a"));
+    caller.ReadAll();
+    EXPECT_FALSE(caller.timed_out());
+  }
+}
+
 // Guards against a hedge whose server does not finish its head: the response of
 // the first attempt is due.
 TEST_F(SigningServerTest, HedgeWithCutHeadLeavesTheFirstResponse) {
--- a/tests/fleet/harness/child_process.cc
+++ b/tests/fleet/harness/child_process.cc
@@ -42,6 +42,8 @@
   // Kills this program if the test that started it crashes.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   RedirectOutput(log_path);
+  // A connection of this program stays open as long as a child has it, too.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(argv[0], argv.data());
   _exit(kExecFailed);
 }
