Count a response that is broken off at the deadline as such

Cause: at the deadline the caller's connection is reset, which also ends the outstanding read that watches for its hang-up. If that read reported first, it replaced the reason of the interruption, and the log line and the counter took the request for one whose caller had left. The caller got the reset all the same.

Change: the first reason of an interruption counts.

--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -459,8 +459,11 @@
          !ClosesAfterResponse() && upload_.complete();
 }
 
+// The first reason counts: the reset at the deadline also ends the read that
+// watches for the hang-up of the caller.
 void RequestHandler::Interrupt(AttemptReport::End end) {
-  interrupted_ = end;
+  if (!interrupted_)
+    interrupted_ = end;
   race_.Interrupt(end);
   if (interrupt_wait_)
     interrupt_wait_();
--- a/tests/connection/endless_bytes_test.cc
+++ b/tests/connection/endless_bytes_test.cc
@@ -312,7 +312,9 @@
       EXPECT_TRUE(caller.reset_by_peer());
     });
   });
-  EXPECT_EQ(ErrorCount(ErrorKind::kBackendTimeout), kCallers);
+  // Counted after the reset that the caller sees.
+  EXPECT_TRUE(Eventually(
+      [this] { return ErrorCount(ErrorKind::kBackendTimeout) == kCallers; }));
   ExpectNothingLeft();
   ExpectNoServerConnections();
 }
