--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -164,8 +164,10 @@
   servers.push_back(server_->endpoint());
   Start(servers);
   std::string response;
-  // Each request tries a few servers; closed ones are not tried again soon.
-  for (int i = 0; i < kClosedServers && response.find("200") == response.npos;
+  // Each request tries a few servers; closed ones are not tried again soon. The
+  // first one can begin with the server that is open.
+  for (int i = 0; i < kClosedServers && (tables_.counters.retries == 0 ||
+                                         response.find("200") == response.npos);
        ++i) {
     response = Exchange(
         "POST /idempotent HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
--- a/tests/soak_fleet/server_faults_test.cc
+++ b/tests/soak_fleet/server_faults_test.cc
@@ -65,6 +65,7 @@
     ClientRequest message{
         request.method, request.path, {{"X-Request-Id", id}}, ""};
     message.max_response_body = 100000;
+    request.sent_at = std::chrono::steady_clock::now();
     SetResponse(request, connection_->Call(message, kRequestTimeout));
     incomplete_ += request.status == 0 ? 1 : 0;
     record_.requests.push_back(request);
