Say each decision of the store and the planned stop once

- The test whether a copy lies within a compared span stood twice in store_replica.cc: LiesWithin().
- Each request took the lock of the membership table to read the end of a planned stop.
It is an atomic now, with TimePoint::max() for none, so that RequestsEnd() and its optional go.

--- a/src/process/membership/membership_table.cc
+++ b/src/process/membership/membership_table.cc
@@ -39,18 +39,12 @@
   return table.own_state;
 }
 
-void BeginLeaving(MembershipTable& table,
-                  std::optional<TimePoint> requests_end) {
+void BeginLeaving(MembershipTable& table, TimePoint requests_end) {
   OrderedLock lock(table.mutex);
   table.own_state = InstanceState::kLeaving;
   table.requests_end = requests_end;
 }
 
-std::optional<TimePoint> RequestsEnd(const MembershipTable& table) {
-  OrderedLock lock(table.mutex);
-  return table.requests_end;
-}
-
 void EnterService(MembershipTable& table) {
   OrderedLock lock(table.mutex);
   if (table.own_state == InstanceState::kJoining)
--- a/src/process/membership/membership_table.h
+++ b/src/process/membership/membership_table.h
@@ -1,6 +1,7 @@
 #ifndef PROCESS_MEMBERSHIP_MEMBERSHIP_TABLE_H_
 #define PROCESS_MEMBERSHIP_MEMBERSHIP_TABLE_H_
 
+#include <atomic>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,9 +28,11 @@
   mutable OrderedMutex mutex{LockRank::kMembership};
   Instance self;
   InstanceState own_state = InstanceState::kJoining;
-  /** While leaving: what still runs at this time is cut; unset if nothing is.
+  /**
+   * Set by a planned stop that cuts what still runs at its end: requests have
+   * to end by then. Needs no lock.
    */
-  std::optional<TimePoint> requests_end;
+  std::atomic<TimePoint> requests_end{TimePoint::max()};
   /** True while this instance serves no keyed requests. */
   bool own_fenced = false;
   InstanceList list;
@@ -48,14 +51,10 @@
 
 /**
  * Starts a planned stop: heartbeats report it, and callers get the addresses of
- * other instances if there are any. Requests have to end by `requests_end`, if
- * it is set.
+ * other instances if there are any. Requests have to end by `requests_end`.
  */
 void BeginLeaving(MembershipTable& table,
-                  std::optional<TimePoint> requests_end = std::nullopt);
-
-/** When the running requests of a planned stop have to have ended, if ever. */
-std::optional<TimePoint> RequestsEnd(const MembershipTable& table);
+                  TimePoint requests_end = TimePoint::max());
 
 /** Goes from joining to serving; has no effect in other states. */
 void EnterService(MembershipTable& table);
--- a/src/process/registry/store_replica.cc
+++ b/src/process/registry/store_replica.cc
@@ -69,6 +69,16 @@
   return missing;
 }
 
+/**
+ * True if a copy at `revision`, with changes up to `newest`, has some but not
+ * all of the changes in `span`.
+ */
+bool LiesWithin(const std::optional<RevisionSpan>& span,
+                uint64_t revision,
+                uint64_t newest) {
+  return span && newest > span->after && revision < span->up_to;
+}
+
 /** Extends the replica's compared span by another one. */
 void AddComparedSpan(StoreReplica& replica, const RevisionSpan& span) {
   if (!replica.compared) {
@@ -158,11 +168,8 @@
     return false;
   if (changes.whole)
     return true;
-  const bool lies_in_compared_span = changes.compared &&
-                                     replica.newest > changes.compared->after &&
-                                     replica.revision < changes.compared->up_to;
   return replica.revision > 0 && changes.after <= replica.revision &&
-         !lies_in_compared_span;
+         !LiesWithin(changes.compared, replica.revision, replica.newest);
 }
 
 std::vector<StoreItem> ApplyChanges(StoreReplica& replica,
@@ -195,11 +202,8 @@
   changes.up_to = replica.revision;
   changes.newest = replica.newest;
   changes.after = revision;
-  const bool lies_in_compared_span = replica.compared &&
-                                     revision > replica.compared->after &&
-                                     revision < replica.compared->up_to;
-  changes.whole =
-      revision == 0 || revision < replica.recent_after || lies_in_compared_span;
+  changes.whole = revision == 0 || revision < replica.recent_after ||
+                  LiesWithin(replica.compared, revision, revision);
   if (changes.whole) {
     changes.after = 0;
     for (const auto& [key, item] : replica.items)
--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -212,10 +212,8 @@
 // While new callers are accepted, a request that may be repeated is worth the
 // risk: nearly all end long before their deadline.
 bool RequestHandler::MayBeCutByStop() const {
-  const auto requests_end = RequestsEnd(context_.tables.membership);
-  if (!requests_end || request_.deadline <= *requests_end)
-    return false;
-  return caller_.draining || !request_.traits.idempotent;
+  return request_.deadline > context_.tables.membership.requests_end.load() &&
+         (caller_.draining || !request_.traits.idempotent);
 }
 
 std::optional<ErrorKind> RequestHandler::Admit(YieldContext yield) {
