Trust no bytes behind an extra response that must not have a body

Callers got a 200 with a body that a server had written as the body of another response.

Cause: an extra response to HEAD, or with status 204 or 304, was skipped up to the end of its head. If the faulty server had sent a body there, the body was read as the next response, and its id was believed.

Ruled out: a hang.

Change: such a response ends the attempt with the outcome unknown; the fault is logged and counted as unknown_end.

--- a/src/connection/response_fault.cc
+++ b/src/connection/response_fault.cc
@@ -54,6 +54,8 @@
       return "malformed_body";
     case ResponseFault::kUnconfirmedRefusal:
       return "unconfirmed_refusal";
+    case ResponseFault::kUnknownEnd:
+      return "unknown_end";
   }
   return "";
 }
--- a/src/connection/response_fault.h
+++ b/src/connection/response_fault.h
@@ -43,10 +43,15 @@
    * by which a server states it.
    */
   kUnconfirmedRefusal,
+  /**
+   * A response to an earlier request that must not have a body. If the server
+   * sent one all the same, its bytes would be taken for the next response.
+   */
+  kUnknownEnd,
 };
 
 constexpr size_t kResponseFaultCount =
-    static_cast<size_t>(ResponseFault::kUnconfirmedRefusal) + 1;
+    static_cast<size_t>(ResponseFault::kUnknownEnd) + 1;
 
 /** Name of `fault` in logs and metrics. */
 const char* Name(ResponseFault fault);
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -294,9 +294,13 @@
     ServerResponse& response,
     YieldContext yield) {
   RecordFault(FaultOf(owner.kind), &response);
-  if (owner.kind == ResponseOwner::Kind::kEarlierRequest)
-    return SkipBody(response, yield);
-  return AttemptReport::End::kBadResponse;
+  if (owner.kind != ResponseOwner::Kind::kEarlierRequest)
+    return AttemptReport::End::kBadResponse;
+  if (!MayHaveBody(response.header, owner.is_head)) {
+    RecordFault(ResponseFault::kUnknownEnd, &response);
+    return AttemptReport::End::kBadResponse;
+  }
+  return SkipBody(response, yield);
 }
 
 /** Id of the request that `response` belongs to; unset if it has none. */
--- a/src/request/io/message_head.cc
+++ b/src/request/io/message_head.cc
@@ -243,6 +243,12 @@
          !beast::iequals(header[field::transfer_encoding], "chunked");
 }
 
+bool MayHaveBody(const ResponseHeader& header, bool is_response_to_head) {
+  const auto status = header.result();
+  return !is_response_to_head && status != http::status::no_content &&
+         status != http::status::not_modified;
+}
+
 bool ExpectsContinue(const RequestHeader& header) {
   return beast::iequals(header[field::expect], "100-continue");
 }
--- a/src/request/io/message_head.h
+++ b/src/request/io/message_head.h
@@ -47,6 +47,9 @@
  */
 bool HasUnsupportedTransferCoding(const ResponseHeader& header);
 
+/** False if a response ends with its head, whatever the head states. */
+bool MayHaveBody(const ResponseHeader& header, bool is_response_to_head);
+
 bool ExpectsContinue(const RequestHeader& header);
 
 /**
--- a/src/request/io/response_relay.cc
+++ b/src/request/io/response_relay.cc
@@ -53,15 +53,11 @@
 Framing ResponseFraming(ResponseParser& parser,
                         const ResponseHeader& header,
                         const RelayOptions& options) {
-  const auto status = header.result();
-  const bool may_have_body = status != http::status::no_content &&
-                             status != http::status::not_modified &&
-                             !options.head_only;
   const auto length = header[http::field::content_length];
-  if (!may_have_body) {
+  if (!MayHaveBody(header, options.head_only)) {
     // Responses to HEAD and with status 304 can state the length that the
     // response to a GET would have. That length is forwarded.
-    if (length.empty() || status == http::status::no_content)
+    if (length.empty() || header.result() == http::status::no_content)
       return {Framing::Kind::kNone, 0};
     return {Framing::Kind::kLength, std::stoull(std::string(length))};
   }
