Hold back signals until an instance can handle them

A SIGHUP or SIGTERM shortly after the start of an instance ended it: its connections were lost, and a planned stop had the status -15.

Cause: the handlers are installed after the settings are read and the sockets opened; before, the signals have their default action.

Change: main() first holds SIGHUP, SIGTERM and SIGINT back; they are released once the handlers are installed.

Test: PlatformFleetTest.SignalsDuringTheStartAreHandled failed before the change ('WaitUntilReady' false: the instance had ended), passed 3 of 3 after.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -18,6 +18,7 @@
 #include "process/fleet/advertised_instances.h"
 #include "process/fleet/fleet_table.h"
 #include "process/io/action_runner.h"
+#include "process/io/early_signals.h"
 #include "process/io/log.h"
 #include "process/io/registry_applier.h"
 #include "process/io/settings.h"
@@ -310,6 +311,7 @@
        {&member_ticker_, &server_table_ticker_, &idle_connection_ticker_})
     ticker->Start();
   WaitForSignal();
+  ReleaseSignals();
   boost::asio::post(pool_.context(), [this] { TickMembers(); });
   Log(LogLevel::kInfo, "started",
       {{"id", initial_settings_.self.id.value()},
--- a/src/process/io/instance_process.cc
+++ b/src/process/io/instance_process.cc
@@ -11,6 +11,7 @@
 #include "connection/io/backend_connection_pool.h"
 #include "connection/io/caller_listener.h"
 #include "process/io/action_runner.h"
+#include "process/io/early_signals.h"
 #include "process/io/log.h"
 #include "process/io/settings.h"
 #include "process/io/ticker.h"
@@ -156,6 +157,7 @@
                          &idle_connection_ticker_})
     ticker->Start();
   WaitForSignal();
+  ReleaseSignals();
   Log(LogLevel::kInfo, "started",
       {{"id", settings_.self.id.value()},
        {"caller", ToString(settings_.self.caller_endpoint)},
--- a/src/programs/instance.cc
+++ b/src/programs/instance.cc
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "process/io/early_signals.h"
 #include "process/io/instance_process.h"
 #include "process/io/log.h"
 #include "process/io/settings.h"
@@ -15,6 +16,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  mangodoor::HoldSignals();
   try {
     TCLAP::CmdLine command(
         "Accepts requests and routes them to backend servers.\n"
--- a/tests/fleet/harness/child_process.h
+++ b/tests/fleet/harness/child_process.h
@@ -21,6 +21,12 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   void Signal(int signal) const;
+  /**
+   * Sends a signal once the program has got to where it handles the signal or
+   * holds it back, at the latest after `timeout`. Before its main(), a signal
+   * ends any program.
+   */
+  void SignalOnceStarted(int signal, std::chrono::milliseconds timeout) const;
 
   /**
    * The exit status, or the negative number of the signal that ended the
@@ -34,6 +40,10 @@
   uint64_t PeakMemory() const;
 
  private:
+  /** A field of /proc/PID/status; empty before the program is executed. */
+  std::string StatusField(const std::string& wanted) const;
+  bool HandlesOrHolds(int signal) const;
+
   std::string program_;
   pid_t pid_ = -1;
 };
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -1,5 +1,6 @@
 #include "platform_fleet/platform_fleet.h"
 
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -179,6 +180,23 @@
       folder_ + "/instance-" + std::to_string(index) + ".log");
 }
 
+void PlatformFleet::StartInstanceWithPipe(int index,
+                                          const std::function<void()>& act) {
+  const std::string path = SettingsPath(index);
+  const std::string file = path + ".file";
+  fs::rename(path, file);
+  if (mkfifo(path.c_str(), 0600) != 0)
+    throw std::runtime_error("mkfifo failed");
+  StartInstance(index);
+  // Waits until the instance has opened the pipe.
+  std::ofstream pipe(path);
+  act();
+  std::ostringstream text;
+  text << std::ifstream(file).rdbuf();
+  fs::rename(file, path);
+  pipe << text.str();
+}
+
 void PlatformFleet::StartServer(int index) {
   servers_.at(Index(index)) = std::make_unique<ChildProcess>(
       std::vector<std::string>{
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -2,6 +2,7 @@
 #define TESTS_PLATFORM_FLEET_PLATFORM_FLEET_H_
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -51,6 +52,11 @@
   ~PlatformFleet();
 
   void StartInstance(int index);
+  /**
+   * Starts an instance that reads its settings from a pipe, and calls `act`
+   * before it has got them. Later reads find them in a file.
+   */
+  void StartInstanceWithPipe(int index, const std::function<void()>& act);
   /**
    * Writes the settings of an instance: the template, filled in with its usual
    * fields after `changes` have been merged into them.
--- a/tests/platform_fleet/platform_fleet_test.cc
+++ b/tests/platform_fleet/platform_fleet_test.cc
@@ -162,6 +162,26 @@
   EXPECT_EQ(fleet.instance(0).WaitForExit(kStopGrace), 0);
 }
 
+// Guards against a signal that ends an instance because it comes while the
+// instance starts: here, while it reads its settings from a pipe.
+TEST(PlatformFleetTest, SignalsDuringTheStartAreHandled) {
+  PlatformFleet fleet({1, 1, 1, 5});
+  ASSERT_TRUE(fleet.WaitUntilReady(kStartLimit));
+  for (const int signal : {SIGHUP, SIGTERM}) {
+    SCOPED_TRACE(signal);
+    fleet.KillInstance(0);
+    fleet.StartInstanceWithPipe(
+        0, [&fleet, signal] { fleet.instance(0).Signal(signal); });
+    if (signal == SIGHUP) {
+      ASSERT_TRUE(fleet.WaitUntilReady(kStartLimit));
+      EXPECT_THAT(fleet.LogOf(0), HasSubstr("settings_reloaded"));
+      EXPECT_EQ(fleet.instance(0).WaitForExit(milliseconds(0)), std::nullopt);
+    } else {
+      EXPECT_EQ(fleet.instance(0).WaitForExit(kStopGrace), 0);
+    }
+  }
+}
+
 // Guards against a planned stop that breaks off a request or makes one run
 // twice.
 TEST(PlatformFleetTest, PlannedStopCutsNoRequest) {
