Limit through how many instances the age of a copy is passed on

Callers could go on using a withdrawn key for as long as the store was out of reach of a fail-closed fleet, which has to refuse it after 5 s.

Cause: an age is counted from the arrival of the heartbeat that states it, so each message makes the copy younger by the time that it took, and by rounding. Instances take back what they passed on themselves, so that the error grows with every heartbeat: 5.0 s in 10 s without reads, at 50 ms a message.

Change: a heartbeat says through how many instances the age has come; it is passed on four times at most, and rounded up.

--- a/src/process/peers/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -326,8 +326,13 @@
   Json json{{"t", "member_beat"}, {"r", heartbeat.store_revision}};
   if (heartbeat.reads_store)
     json["g"] = true;
+  // Rounded up, since instances pass the age on to each other.
   if (heartbeat.store_age)
-    json["a"] = ToMilliseconds(*heartbeat.store_age);
+    json["a"] =
+        std::chrono::ceil<std::chrono::milliseconds>(*heartbeat.store_age)
+            .count();
+  if (heartbeat.store_age_hops > 0)
+    json["h"] = heartbeat.store_age_hops;
   if (heartbeat.covered == 0)
     return json;
   json["s"] = static_cast<int>(heartbeat.scope);
@@ -351,6 +356,9 @@
   if (json.contains("a"))
     heartbeat.store_age = std::chrono::milliseconds(
         IntegerAt(json, "a", 0, ToMilliseconds(kMaxAge)));
+  if (json.contains("h"))
+    heartbeat.store_age_hops =
+        static_cast<int>(IntegerAt(json, "h", 0, kMaxInstances));
   if (!json.contains("n"))
     return heartbeat;
   heartbeat.scope = static_cast<UsageScope>(IntegerAt(json, "s", 0, 2));
--- a/src/process/peers/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -147,6 +147,8 @@
   bool reads_store = false;
   /** Time since the sender's copy was known to be current; unset if never. */
   std::optional<Duration> store_age;
+  /** Instances that have passed this on since the read; 0 for its own read. */
+  int store_age_hops = 0;
   UsageScope scope = UsageScope::kInstance;
   /** Instances that the request rates cover; 0 if the heartbeat has none. */
   int covered = 0;
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -24,8 +24,20 @@
 // get this time to obtain changes before another one is asked for them.
 constexpr Duration kRemoteRequestDelay = std::chrono::milliseconds(500);
 
+// Each hop adds the time that the message took, since its receiver does not
+// know it. Without a limit, the instances would keep each other's copies
+// current for ever after the last read.
+constexpr int kMaxConfirmationHops = 4;
+
 // The functions in this namespace are called with the feed locked.
 
+/** Keeps the later one of the feed's confirmation and `heard`. */
+void AddConfirmation(Feed& feed, const StoreConfirmation& heard) {
+  if (heard.hops <= kMaxConfirmationHops &&
+      (!feed.confirmation || heard.at > feed.confirmation->at))
+    feed.confirmation = heard;
+}
+
 /** True if the peer reads the store, and its copy was current recently. */
 bool IsActiveReader(const PeerFeed& peer, TimePoint now) {
   return peer.reads_store && now - peer.last_heard <= kHeartbeatMaxAge &&
@@ -156,7 +168,7 @@
       changes.up_to = answer.revision;
       changes.items = std::move(answer.items);
       actions.changed_items = ApplyChanges(feed.replica, changes);
-      feed.confirmed_at = now;
+      AddConfirmation(feed, {now, 0});
     }
   }
   UpdateBehindSince(feed, now);
@@ -182,10 +194,9 @@
     peer.confirmed_at = std::max(peer.confirmed_at, now - *heartbeat.store_age);
   if (heartbeat.store_revision <= feed.replica.revision) {
     if (heartbeat.store_revision == feed.replica.revision &&
-        heartbeat.store_age) {
-      feed.confirmed_at = std::max(feed.confirmed_at.value_or(TimePoint()),
-                                   now - *heartbeat.store_age);
-    }
+        heartbeat.store_age)
+      AddConfirmation(
+          feed, {now - *heartbeat.store_age, heartbeat.store_age_hops + 1});
     return actions;
   }
   feed.highest_peer_revision =
@@ -249,13 +260,17 @@
   OrderedLock lock(feed.mutex);
   heartbeat.store_revision = feed.replica.revision;
   heartbeat.reads_store = IsReading(feed.reader);
-  if (feed.confirmed_at)
-    heartbeat.store_age = now - *feed.confirmed_at;
+  if (!feed.confirmation)
+    return;
+  heartbeat.store_age = now - feed.confirmation->at;
+  heartbeat.store_age_hops = feed.confirmation->hops;
 }
 
 std::optional<TimePoint> ConfirmedAt(const Feed& feed) {
   OrderedLock lock(feed.mutex);
-  return feed.confirmed_at;
+  if (!feed.confirmation)
+    return std::nullopt;
+  return feed.confirmation->at;
 }
 
 uint64_t FeedRevision(const Feed& feed) {
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -26,6 +26,13 @@
   TimePoint confirmed_at{};
 };
 
+/** When a copy was known to be current, and how that became known. */
+struct StoreConfirmation {
+  TimePoint at{};
+  /** Instances that have passed it on; 0 for a read of this instance. */
+  int hops = 0;
+};
+
 /**
  * This instance's copy of the platform's store, kept up to date by its own
  * reads or by changes from peers.
@@ -37,8 +44,8 @@
   std::map<InstanceId, PeerFeed> peers;
   /** When the latest request to a peer was sent, if it is unanswered. */
   std::optional<TimePoint> requested_at;
-  /** Latest time at which the copy was known to be current. */
-  std::optional<TimePoint> confirmed_at;
+  /** The latest one; unset if the copy was never known to be current. */
+  std::optional<StoreConfirmation> confirmation;
   /** The highest revision that a peer has reported. */
   uint64_t highest_peer_revision = 0;
   /**
--- a/src/process/status/fleet_status.cc
+++ b/src/process/status/fleet_status.cc
@@ -26,8 +26,8 @@
   OrderedLock lock(feed.mutex);
   status.store_revision = feed.replica.revision;
   status.reads_store = IsReading(feed.reader);
-  if (feed.confirmed_at)
-    status.store_age = now - *feed.confirmed_at;
+  if (feed.confirmation)
+    status.store_age = now - feed.confirmation->at;
   for (MemberStatus& member : status.members) {
     const auto peer = feed.peers.find(member.member.id);
     if (peer == feed.peers.end())
--- a/tests/peers/peer_codec_test.cc
+++ b/tests/peers/peer_codec_test.cc
@@ -109,6 +109,18 @@
   EXPECT_EQ(decoded.changes.newest, 20U);
 }
 
+// Guards against an age that gets smaller when an instance passes it on, and
+// against one that is passed on without end.
+TEST(PeerCodecTest, AgeOfTheStoreIsRoundedUp) {
+  FleetHeartbeat heartbeat;
+  heartbeat.store_age = std::chrono::microseconds(1200);
+  heartbeat.store_age_hops = 3;
+  const auto decoded =
+      std::get<FleetHeartbeat>(DecodePeerMessage(EncodePeerMessage(heartbeat)));
+  EXPECT_EQ(decoded.store_age, std::chrono::milliseconds(2));
+  EXPECT_EQ(decoded.store_age_hops, 3);
+}
+
 // Guards against rejecting messages of newer instances that have more fields.
 TEST(PeerCodecTest, UnknownFieldsAreIgnored) {
   Json json = HeartbeatJson();
