Decode documents of the store on a thread of their own

Callers got final answers up to a second after the time limit of their route while configurations of 0.7 MB came in quick succession.

Cause: an instance on a machine with one core has one worker, which also read the store and decoded its documents. No request was handled and no deadline applied meanwhile: the log of an instance has gaps of 0.75 to 0.97 s before each document_considered, and requests end together behind them.

Ruled out: a slow decoder; it takes 33 ms for 0.7 MB on a free core, the answer of the store 15 ms, and no part of it is quadratic.

Change: a second pool of one thread reads the store, and decodes and applies its items. Items that arrive meanwhile are kept and applied together.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -157,6 +157,11 @@
   RetryTable retry_table_;
   RequestLog request_log_{clock_};
   WorkerPool pool_;
+  /**
+   * Reads the store and decodes its items. Separate from `pool_`, since a large
+   * document takes long to decode, and requests must not wait meanwhile.
+   */
+  WorkerPool store_pool_{1};
   PeerConnectionManager peers_;
   TokenExchange tokens_;
   ActionRunner actions_;
@@ -196,7 +201,7 @@
       tokens_(tables_.usage, fleet_, peers_, clock_),
       actions_(peers_,
                [this](const ChosenServer& server) { prober_.Probe(server); }),
-      store_(platform.open_store(pool_.context(), settings.fleet->store)),
+      store_(platform.open_store(store_pool_.context(), settings.fleet->store)),
       applier_(tables_,
                feed_,
                clock_,
@@ -321,7 +326,9 @@
        {"admin", ToString(initial_settings_.admin_endpoint)},
        {"store", ToString(initial_settings_.fleet->store)}});
   pool_.Start();
+  store_pool_.Start();
   pool_.Join();
+  store_pool_.Stop();
   Log(LogLevel::kInfo, "stopped");
   return 0;
 }
@@ -498,7 +505,9 @@
   for (const FeedPush& push : actions.pushes)
     peers_.SendAll(push.to, push.update);
   if (!actions.changed_items.empty()) {
-    applier_.Apply(actions.changed_items);
+    if (applier_.Keep(std::move(actions.changed_items)))
+      boost::asio::post(store_pool_.context(),
+                        [this] { applier_.ApplyKept(); });
     SendToOtherLeaders();
   }
   StartRead(actions.read);
--- a/src/process/io/registry_applier.cc
+++ b/src/process/io/registry_applier.cc
@@ -1,6 +1,7 @@
 #include "process/io/registry_applier.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "process/io/log.h"
@@ -78,6 +79,23 @@
                               clock_.Now()));
 }
 
+bool RegistryApplier::Keep(std::vector<StoreItem> items) {
+  OrderedLock lock(kept_mutex_);
+  const bool is_first = kept_.empty();
+  kept_.insert(kept_.end(), std::make_move_iterator(items.begin()),
+               std::make_move_iterator(items.end()));
+  return is_first;
+}
+
+void RegistryApplier::ApplyKept() {
+  std::vector<StoreItem> items;
+  {
+    OrderedLock lock(kept_mutex_);
+    items.swap(kept_);
+  }
+  Apply(items);
+}
+
 void RegistryApplier::Decode(const StoreItem& item, ServerChanges& changes) {
   const DecodedItem decoded = decode_(item, clock_.WallNow());
   std::vector<Fault> faults;
--- a/src/process/io/registry_applier.h
+++ b/src/process/io/registry_applier.h
@@ -33,6 +33,15 @@
    */
   void Apply(const std::vector<StoreItem>& items);
 
+  /**
+   * Keeps items until ApplyKept is called. Returns true if it has to be called
+   * for them; false if a call is due already.
+   */
+  bool Keep(std::vector<StoreItem> items);
+
+  /** Applies what was kept, all at once. */
+  void ApplyKept();
+
   /** Logs and counts items that were read without a usable key. */
   void ReportUnreadable(const std::string& reason);
 
@@ -62,6 +71,10 @@
   const Instance& self_;
   const ItemDecoder decode_;
   LineLimiter refused_lines_;
+  OrderedMutex kept_mutex_{LockRank::kFeedApply};
+  // Guarded by `kept_mutex_`.
+  std::vector<StoreItem> kept_;
+  // Never held together with `kept_mutex_`. Guards the members below.
   OrderedMutex mutex_{LockRank::kFeedApply};
   /** Revision of the latest applied change of each key. */
   std::map<std::string, uint64_t> revisions_;
--- a/tests/registry/registry_applier_test.cc
+++ b/tests/registry/registry_applier_test.cc
@@ -74,6 +74,20 @@
   EXPECT_EQ(feed_.entries_refused, 5U);
 }
 
+// Guards against a document that is decoded although a later one is known, and
+// against items that nobody applies.
+TEST_F(RegistryApplierTest, KeptItemsAreAppliedTogether) {
+  ::testing::internal::CaptureStdout();
+  EXPECT_TRUE(applier_.Keep({Item("a", "old", 1)}));
+  EXPECT_FALSE(applier_.Keep({Item("a", "new", 2), Item("b", "other", 3)}));
+  applier_.ApplyKept();
+  const std::string log = ::testing::internal::GetCapturedStdout();
+  EXPECT_THAT(log, ::testing::Not(::testing::HasSubstr("allowed: old")));
+  EXPECT_THAT(log, ::testing::HasSubstr("allowed: new"));
+  EXPECT_THAT(log, ::testing::HasSubstr("allowed: other"));
+  EXPECT_TRUE(applier_.Keep({Item("a", "newest", 4)}));
+}
+
 // Guards against a log whose volume another writer decides.
 TEST_F(RegistryApplierTest, BoundsTheLinesOfRefusedEntries) {
   std::vector<StoreItem> items;
