Read the store where peers cannot send what a follower lacks

Callers of an instance would have got an old configuration for ever: a follower that is behind asks its peers for the changes, and if these are larger than a message may be (2 MiB), no answer comes and it asks again.

Change: a follower that has been behind a peer for 2.5 s reads the store itself until it has caught up. On sites of today a peer answers within milliseconds.

Evidence: RegistrySimTest.FollowersReadWhatPeersCannotSend failed before the change (copies not current 6 s after it), passes now, and bounds the number of reads after that.

--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -141,6 +141,7 @@
   inputs.rank = topology.rank;
   inputs.lower_rank_reads = LowerRankReads(feed, topology, now);
   inputs.revision = feed.replica.revision;
+  inputs.behind_since = feed.behind_since;
   actions.read = PlanRead(feed.reader, inputs);
   return actions;
 }
--- a/src/process/registry/feed_reader.cc
+++ b/src/process/registry/feed_reader.cc
@@ -24,6 +24,11 @@
 // centre can.
 constexpr Duration kNonHubTakeOverDelay = std::chrono::milliseconds(2500);
 
+// Peers answer a request for changes within milliseconds. A replica that stays
+// behind longer does not get them, for example because they are larger than a
+// message may be. The same request would get no answer either.
+constexpr Duration kBehindReadDelay = std::chrono::milliseconds(2500);
+
 Duration TakeOverDelay(size_t rank) {
   if (rank == 0)
     return Duration::zero();
@@ -36,7 +41,10 @@
     reader.lower_rank_idle_since.reset();
   else if (!reader.lower_rank_idle_since)
     reader.lower_rank_idle_since = inputs.now;
-  if (inputs.revision == 0)
+  const bool peers_do_not_help =
+      inputs.behind_since &&
+      inputs.now - *inputs.behind_since >= kBehindReadDelay;
+  if (inputs.revision == 0 || peers_do_not_help)
     return true;
   return reader.lower_rank_idle_since &&
          inputs.now - *reader.lower_rank_idle_since >=
--- a/src/process/registry/feed_reader.h
+++ b/src/process/registry/feed_reader.h
@@ -47,6 +47,11 @@
   bool lower_rank_reads = false;
   /** The revision of the replica; 0 before the first full copy. */
   uint64_t revision = 0;
+  /**
+   * Since when a peer has had changes that the replica lacks; unset if none
+   * has.
+   */
+  std::optional<TimePoint> behind_since;
 };
 
 /** The read to start now. */
--- a/tests/registry/registry_sim_test.cc
+++ b/tests/registry/registry_sim_test.cc
@@ -218,6 +218,24 @@
   EXPECT_TRUE(sim.AllCurrent());
 }
 
+// Guards against a follower that stays behind because the changes it asks for
+// are larger than a message may be. At the size at which that can happen, the
+// users require changes to be in force within 6 s.
+TEST(RegistrySimTest, FollowersReadWhatPeersCannotSend) {
+  RegistrySim sim(2, 5, kPageSize);
+  PutServers(sim, 12);
+  sim.RunFor(seconds(3));
+  sim.max_update_items = 3;
+  for (int i = 0; i < 12; ++i)
+    sim.store().Put("servers/" + std::to_string(i), "v2");
+  sim.RunFor(seconds(6));
+  EXPECT_TRUE(sim.AllCurrent());
+  // Followers that have caught up leave the store to its reader again.
+  const int before = sim.store_requests();
+  sim.RunFor(seconds(10));
+  EXPECT_LE(sim.store_requests() - before, 12);
+}
+
 /** What happens to an entry between the revisions of two pages. */
 enum class MissedChange { kWritten, kDeleted, kAdded };
 
@@ -265,6 +283,7 @@
       rc::gen::inRange<uint64_t>(0, 12))));
   sim.store().max_usable_changes =
       *rc::gen::element<size_t>(SIZE_MAX, SIZE_MAX, 4);
+  sim.max_update_items = *rc::gen::element<size_t>(SIZE_MAX, SIZE_MAX, 3);
   const int faults = *rc::gen::inRange(1, 30);
   for (int i = 0; i < faults; ++i) {
     const int index = *rc::gen::inRange(0, sim.size());
--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -234,7 +234,8 @@
       if (const auto* request = std::get_if<FeedRequest>(&content))
         ApplyActions(*receiver, HandleFeedRequest(*receiver->feed, message.from,
                                                   *request));
-      if (const auto* update = std::get_if<FeedUpdate>(&content))
+      const auto* update = std::get_if<FeedUpdate>(&content);
+      if (update && update->changes.items.size() <= max_update_items)
         ApplyActions(*receiver, HandleFeedUpdate(*receiver->feed, topology,
                                                  message.from, *update, now_));
     }
--- a/tests/registry/store_sim.h
+++ b/tests/registry/store_sim.h
@@ -96,6 +96,8 @@
     stale_lags_ = std::move(lags);
     stale_reads_ = 0;
   }
+  /** Updates with more items than this are not delivered. */
+  size_t max_update_items = SIZE_MAX;
   int store_requests() const;
   /** True if every running instance has exactly the store's contents. */
   bool AllCurrent() const;
