Refuse a request without waiting for a slow body

Callers of a route that does not exist, or that are refused for another reason known from the head, got the refusal only once 64 KiB or all of their body had been received, and waited for each piece up to 10 s: what cannot be served has to be refused at once.

Cause: the body is skipped first, so that the connection can be used again, and only the time without progress was limited.

Change: the refusal waits for the rest of the body for one second at most; then the connection is closed after it.

All other tests of tests/connection passed.

--- a/src/request/io/body_upload.cc
+++ b/src/request/io/body_upload.cc
@@ -1,5 +1,6 @@
 #include "request/io/body_upload.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "process/clock.h"
@@ -13,19 +14,22 @@
                        RequestParser& parser)
     : context_(context), stream_(stream), parser_(parser) {}
 
-std::optional<ErrorKind> BodyUpload::BufferBody(YieldContext yield) {
+std::optional<ErrorKind> BodyUpload::BufferBody(YieldContext yield,
+                                                TimePoint until) {
   for (;;) {
     if (DecodeBody(parser_, stream_.buffer(), buffered_, kMaxBufferedBody))
       return ErrorKind::kMalformedRequest;
     if (parser_.is_done() || buffered_.size() >= kMaxBufferedBody)
       return std::nullopt;
-    if (auto error = ReadMore(yield))
+    if (auto error = ReadMore(yield, until))
       return error;
   }
 }
 
-std::optional<ErrorKind> BodyUpload::ReadMore(YieldContext yield) {
-  stream_.LimitReads(context_.clock.Now() + context_.limits.body_progress);
+std::optional<ErrorKind> BodyUpload::ReadMore(YieldContext yield,
+                                              TimePoint until) {
+  stream_.LimitReads(
+      std::min(context_.clock.Now() + context_.limits.body_progress, until));
   const boost::system::error_code error = stream_.ReadSome(yield);
   const bool too_slow = stream_.read_limit_passed();
   stream_.ClearReadLimit();
--- a/src/request/io/body_upload.h
+++ b/src/request/io/body_upload.h
@@ -23,8 +23,12 @@
              CallerStream& stream,
              RequestParser& parser);
 
-  /** Reads the body until it is complete or 64 KiB are buffered. */
-  std::optional<ErrorKind> BufferBody(YieldContext yield);
+  /**
+   * Reads the body until it is complete or 64 KiB are buffered. Fails if the
+   * caller makes no progress, or at `until`.
+   */
+  std::optional<ErrorKind> BufferBody(YieldContext yield,
+                                      TimePoint until = TimePoint::max());
 
   /** Framing of the body towards backend servers. Called after BufferBody. */
   Framing framing() const;
@@ -51,7 +55,8 @@
   void Stop(YieldContext yield);
 
  private:
-  std::optional<ErrorKind> ReadMore(YieldContext yield);
+  std::optional<ErrorKind> ReadMore(YieldContext yield,
+                                    TimePoint until = TimePoint::max());
   void StreamBody(BackendAttempt& attempt, YieldContext yield);
 
   const SessionContext& context_;
--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -21,6 +21,11 @@
 constexpr int kStatusOk = 200;
 constexpr unsigned kHttp10 = 10;
 
+// A request that is refused before its body was read is answered after this
+// time at the latest. If the body was received by then, the connection can be
+// used again.
+constexpr std::chrono::seconds kMaxRefusalDelay{1};
+
 std::string_view View(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -442,7 +447,8 @@
   ++context_.tables.counters.errors[static_cast<size_t>(plan.error)];
   const bool skip_body = may_skip_body_ && !ExpectsContinue(header_);
   const bool body_read =
-      upload_.complete() || (skip_body && !upload_.BufferBody(yield));
+      upload_.complete() ||
+      (skip_body && !upload_.BufferBody(yield, Now() + kMaxRefusalDelay));
   const bool close = ClosesAfterResponse() || !body_read || !upload_.complete();
   const bool head_only = header_.method() == http::verb::head;
   return SendResponse(
--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -131,6 +131,28 @@
               AllOf(HasSubstr("HTTP/1.1 504"), HasSubstr("Outcome: unknown")));
 }
 
+// Guards against a refusal that waits for a body as long as its sender makes some
+// progress: what cannot be served is refused at once.
+TEST_F(BodyTest, RefusalDoesNotWaitForASlowBody) {
+  StartWith(RespondToAll("ok"));
+  TestConnection caller = Connect();
+  caller.Write(
+      "POST /unknown HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n");
+  std::atomic<bool> answered{false};
+  std::thread sender([&caller, &answered] {
+    for (int i = 0; i < 40 && !answered; ++i) {
+      caller.Write("x");
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+  });
+  const auto began = std::chrono::steady_clock::now();
+  EXPECT_THAT(caller.ReadHead(), HasSubstr("HTTP/1.1 404"));
+  const auto took = std::chrono::steady_clock::now() - began;
+  answered = true;
+  sender.join();
+  EXPECT_LT(took, std::chrono::seconds(3));
+}
+
 // Guards against a server that works on for a caller who has left after sending
 // a body of more than is buffered.
 TEST_F(BodyTest, CallerThatLeavesAfterStreamedBodyEndsAttempt) {
