Check the heads of responses in free functions of their own

What is wrong with a response is decided from its head and the interface alone, so RequestIdOf, FaultOfHead, FaultOfResponse and StatesNotRun are free functions in response_check now.

--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -8,6 +8,7 @@
 #include "process/servers/retry_table.h"
 #include "process/tables.h"
 #include "request/header_scan.h"
+#include "request/io/response_check.h"
 #include "request/load_metrics.h"
 
 namespace mangodoor {
@@ -20,9 +21,7 @@
 // More than any sound server sends, so that one that never stops is noticed
 // long before the deadline.
 constexpr int kMaxOtherResponses = 32;
-constexpr unsigned kStatusSwitchingProtocols = 101;
 constexpr unsigned kStatusOk = 200;
-constexpr unsigned kSuccessClass = 2;
 
 std::string_view BytesOf(const boost::beast::flat_buffer& buffer) {
   const auto data = buffer.cdata();
@@ -33,28 +32,6 @@
   return {text.data(), text.size()};
 }
 
-/** The fault of a response that does not belong to the running request. */
-ResponseFault FaultOf(ResponseOwner::Kind kind) {
-  switch (kind) {
-    case ResponseOwner::Kind::kEarlierRequest:
-      return ResponseFault::kExtraResponse;
-    case ResponseOwner::Kind::kNotStated:
-      return ResponseFault::kNoRequestId;
-    case ResponseOwner::Kind::kOtherRequest:
-    case ResponseOwner::Kind::kThisRequest:
-      break;
-  }
-  return ResponseFault::kOtherRequestId;
-}
-
-/** True for the statuses that can mean that a request did not run. */
-bool IsRefusal(http::status status) {
-  return status == http::status::request_timeout ||
-         status == http::status::misdirected_request ||
-         status == http::status::too_many_requests ||
-         status == http::status::service_unavailable;
-}
-
 /** Appends a field, unless its name is empty because the interface lacks it. */
 void AppendField(std::string& out,
                  const std::string& name,
@@ -255,13 +232,13 @@
   auto response = ParseHead(size, request_.is_head);
   if (!response)
     return AttemptReport::End::kBadResponse;
-  if (const auto fault = FaultOfHead(*response)) {
+  if (const auto fault = FaultOfHead(response->header, context_.http_profile)) {
     RecordFault(*fault, response.get());
     return AttemptReport::End::kBadResponse;
   }
   const ResponseOwner owner =
-      OwnerOf(RequestIdOf(*response), {request_.id, request_.is_head},
-              connection_->sent);
+      OwnerOf(RequestIdOf(response->header, context_.http_profile),
+              {request_.id, request_.is_head}, connection_->sent);
   // Whether the response has a body depends on the method of its own request.
   if (owner.is_head != request_.is_head)
     response = ParseHead(size, owner.is_head);
@@ -277,17 +254,6 @@
   return std::nullopt;
 }
 
-/** The reason why nothing can be concluded from a head, if any. */
-std::optional<ResponseFault> BackendAttempt::FaultOfHead(
-    const ServerResponse& response) const {
-  if (response.header.result_int() == kStatusSwitchingProtocols)
-    return ResponseFault::kProtocolSwitched;
-  // The head of a response that breaks off in a field can run into the next.
-  if (RepeatsDecidingField(response.header, context_.http_profile))
-    return ResponseFault::kRepeatedField;
-  return std::nullopt;
-}
-
 /** Skips a response to an earlier request; fails for one of unknown origin. */
 std::optional<AttemptReport::End> BackendAttempt::SkipResponse(
     const ResponseOwner& owner,
@@ -303,17 +269,6 @@
   return SkipBody(response, yield);
 }
 
-/** Id of the request that `response` belongs to; unset if it has none. */
-std::optional<std::string_view> BackendAttempt::RequestIdOf(
-    const ServerResponse& response) const {
-  const std::string& name = context_.http_profile.request_id;
-  const auto field =
-      name.empty() ? response.header.end() : response.header.find(name);
-  if (field == response.header.end() || field->value().empty())
-    return std::nullopt;
-  return View(field->value());
-}
-
 /**
  * Reads past the body of a response. Fails if the end of the body is unknown,
  * is not reached, or lies beyond kMaxBufferedBody.
@@ -397,11 +352,13 @@
 }
 
 AttemptReport::End BackendAttempt::ClassifyResponse() {
-  if (const auto fault = FaultOfResponse()) {
+  if (const auto fault =
+          FaultOfResponse(response_->header, context_.http_profile,
+                          request_.traits.idempotent)) {
     RecordFault(*fault);
     return AttemptReport::End::kBadResponse;
   }
-  if (StatesNotRun(response_->header))
+  if (StatesNotRun(response_->header, context_.http_profile))
     return AttemptReport::End::kRefusedByServer;
   switch (response_->header.result()) {
     case http::status::service_unavailable:
@@ -413,34 +370,6 @@
   }
 }
 
-/** The reason why a well-formed response must not be forwarded, if any. */
-std::optional<ResponseFault> BackendAttempt::FaultOfResponse() const {
-  const HttpProfile& http_profile = context_.http_profile;
-  const ResponseHeader& header = response_->header;
-  if (HasUnsupportedTransferCoding(header))
-    return ResponseFault::kTransferCoding;
-  if (http_profile.rejects_encoded_responses &&
-      header.count(http::field::content_encoding) > 0)
-    return ResponseFault::kEncoded;
-  const bool success = header.result_int() / 100 == kSuccessClass;
-  if (success && !http_profile.signature.empty() &&
-      header.count(http_profile.signature) == 0)
-    return ResponseFault::kNotSigned;
-  if (http_profile.refusals_mean_not_run && !request_.traits.idempotent &&
-      IsRefusal(header.result()) && !StatesNotRun(header))
-    return ResponseFault::kUnconfirmedRefusal;
-  return std::nullopt;
-}
-
-/** True if the server states that it did not run the request. */
-bool BackendAttempt::StatesNotRun(const ResponseHeader& header) const {
-  const HttpProfile& http_profile = context_.http_profile;
-  if (!http_profile.not_run.empty() && header[http_profile.not_run] == "1")
-    return true;
-  return !http_profile.expected_server.empty() &&
-         header.result() == http::status::misdirected_request;
-}
-
 void BackendAttempt::RecordLoad() {
   const LoadMetrics load = context_.http_profile.parse_load(
       View(response_->header[context_.http_profile.load]));
@@ -462,7 +391,8 @@
   ResponseFaultRecord record{server_.server, fault};
   if (response) {
     record.status = response->status();
-    record.response_id = std::string(RequestIdOf(*response).value_or(""));
+    record.response_id = std::string(
+        RequestIdOf(response->header, context_.http_profile).value_or(""));
   }
   Add(faults_, std::move(record));
 }
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -90,10 +90,6 @@
   std::optional<AttemptReport::End> ReadHead(size_t& size, YieldContext yield);
   std::unique_ptr<ServerResponse> ParseHead(size_t size,
                                             bool is_response_to_head);
-  std::optional<std::string_view> RequestIdOf(
-      const ServerResponse& response) const;
-  std::optional<ResponseFault> FaultOfHead(
-      const ServerResponse& response) const;
   std::optional<AttemptReport::End> SkipResponse(const ResponseOwner& owner,
                                                  ServerResponse& response,
                                                  YieldContext yield);
@@ -101,8 +97,6 @@
                                              YieldContext yield);
   AttemptReport::End BufferBody(ServerResponse& response, YieldContext yield);
   AttemptReport::End ClassifyResponse();
-  std::optional<ResponseFault> FaultOfResponse() const;
-  bool StatesNotRun(const ResponseHeader& header) const;
   void RecordFault(ResponseFault fault, const ServerResponse* response);
   bool IsResponseComplete();
   AttemptReport FinishReport(AttemptReport::End end);
