--- a/tests/connection/body_test.cc
+++ b/tests/connection/body_test.cc
@@ -131,8 +131,8 @@
               AllOf(HasSubstr("HTTP/1.1 504"), HasSubstr("Outcome: unknown")));
 }
 
-// Guards against a refusal that waits for a body as long as its sender makes some
-// progress: what cannot be served is refused at once.
+// Guards against a refusal that waits for a body as long as its sender makes
+// some progress: what cannot be served is refused at once.
 TEST_F(BodyTest, RefusalDoesNotWaitForASlowBody) {
   StartWith(RespondToAll("ok"));
   TestConnection caller = Connect();
