Report an instance that does not get to its main() in the soak

The soak waited one second at most until a program can hold a signal back, and then sent it all the same, so the cause cannot be told from a fault of the product. It now waits as long as for a start, 10 s, and reports if that is not enough.

--- a/tests/fleet/harness/child_process.cc
+++ b/tests/fleet/harness/child_process.cc
@@ -104,12 +104,16 @@
   return has_signal("SigBlk:") || has_signal("SigCgt:");
 }
 
-void ChildProcess::SignalOnceStarted(int signal,
+bool ChildProcess::SignalOnceStarted(int signal,
                                      std::chrono::milliseconds timeout) const {
   const auto end = std::chrono::steady_clock::now() + timeout;
-  while (!HandlesOrHolds(signal) && std::chrono::steady_clock::now() < end)
+  bool started = HandlesOrHolds(signal);
+  while (!started && std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kPollInterval);
+    started = HandlesOrHolds(signal);
+  }
   Signal(signal);
+  return started;
 }
 
 std::string BinaryFolder() {
--- a/tests/fleet/harness/child_process.h
+++ b/tests/fleet/harness/child_process.h
@@ -23,10 +23,10 @@
   void Signal(int signal) const;
   /**
    * Sends a signal once the program has got to where it handles the signal or
-   * holds it back, at the latest after `timeout`. Before its main(), a signal
-   * ends any program.
+   * holds it back, at the latest after `timeout`; returns false then. Before
+   * its main(), a signal ends any program.
    */
-  void SignalOnceStarted(int signal, std::chrono::milliseconds timeout) const;
+  bool SignalOnceStarted(int signal, std::chrono::milliseconds timeout) const;
 
   /**
    * The exit status, or the negative number of the signal that ended the
--- a/tests/soak_fleet/soak_run.cc
+++ b/tests/soak_fleet/soak_run.cc
@@ -15,8 +15,6 @@
 using std::chrono::seconds;
 
 constexpr seconds kStartTimeout(10);
-// A program reaches its main() long before.
-constexpr seconds kMainTimeout(1);
 // Bounds that the users require.
 constexpr seconds kRecoveryBound(15);
 constexpr seconds kStopBound(6);
@@ -238,7 +236,7 @@
       return fleet_.SetStoreMode("stale");
     case SoakFaultKind::kReloadInstance:
       if (fleet_.HasInstance(fault.target))
-        fleet_.instance(fault.target).SignalOnceStarted(SIGHUP, kMainTimeout);
+        SignalInstance(fault.target, SIGHUP);
       return;
     case SoakFaultKind::kServerResponses:
       return;  // UpdateServerFaults begins and ends it.
@@ -285,7 +283,7 @@
       return;
     case SoakFaultKind::kStopInstance:
       if (fleet_.HasInstance(target) && stopping_.count(target) == 0) {
-        fleet_.instance(target).SignalOnceStarted(SIGTERM, kMainTimeout);
+        SignalInstance(target, SIGTERM);
         stopping_[target] = Now();
       }
       return;
@@ -411,12 +409,7 @@
   const bool overdue = Now() - stopping_.at(instance) > kStopBound;
   if (!exit && !overdue)
     return;
-  const bool was_paused = std::any_of(
-      plan_.begin(), plan_.end(), [instance](const SoakFault& fault) {
-        return fault.kind == SoakFaultKind::kPauseInstance &&
-               fault.target == instance;
-      });
-  if (!was_paused && (!exit || *exit != 0)) {
+  if (!IsEverPaused(instance) && (!exit || *exit != 0)) {
     violations_.push_back(
         "instance " + std::to_string(instance) + " did not stop " +
         (exit ? "with 0, but with " + std::to_string(*exit) : "in time"));
@@ -431,6 +424,23 @@
   Restart(instance);
 }
 
+bool SoakRun::IsEverPaused(int instance) const {
+  return std::any_of(plan_.begin(), plan_.end(),
+                     [instance](const SoakFault& fault) {
+                       return fault.kind == SoakFaultKind::kPauseInstance &&
+                              fault.target == instance;
+                     });
+}
+
+void SoakRun::SignalInstance(int instance, int signal) {
+  const bool started =
+      fleet_.instance(instance).SignalOnceStarted(signal, kStartTimeout);
+  if (!started && !IsEverPaused(instance)) {
+    violations_.push_back("instance " + std::to_string(instance) +
+                          " did not get to its main() in time");
+  }
+}
+
 void SoakRun::PublishVersion() {
   const uint64_t version = fleet_.version + 1;
   fleet_.extra_prefix = VersionPrefix(version);
--- a/tests/soak_fleet/soak_run.h
+++ b/tests/soak_fleet/soak_run.h
@@ -55,6 +55,10 @@
   void FinishAllFaults();
   void CheckProcesses();
   void CheckStop(int instance);
+  /** True if the plan pauses the instance at any time. */
+  bool IsEverPaused(int instance) const;
+  /** Sends a signal once the instance can hold it back or handle it. */
+  void SignalInstance(int instance, int signal);
   void RecordMemory(int instance);
   void Restart(int instance);
   void PublishVersion();
