--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -39,8 +39,10 @@
 constexpr Duration kIdleConnectionTick = std::chrono::seconds(1);
 
 // Fractions of the grace period of a planned stop: new callers are accepted
-// until the first, running requests can finish until the second.
+// until the first, requests are taken only if their deadline lies before the
+// second, and those that still run at the third are cut.
 constexpr double kListenFraction = 0.45;
+constexpr double kDeadlineFraction = 0.9;
 constexpr double kDrainFraction = 0.95;
 
 // Fraction of `fence_after` at which requests with an API key are refused. It
@@ -580,11 +582,12 @@
 }
 
 void FleetProcess::BeginPlannedStop() {
-  const auto listen_time =
-      FractionOf(CurrentSettings()->fleet->stop_grace, kListenFraction);
+  const auto grace = CurrentSettings()->fleet->stop_grace;
+  const auto listen_time = FractionOf(grace, kListenFraction);
   Log(LogLevel::kInfo, "leaving", {{"listen_ms", listen_time.count()}});
-  BeginLeaving(fleet_, clock_.Now());
-  BeginLeaving(tables_.membership);
+  const TimePoint now = clock_.Now();
+  BeginLeaving(fleet_, now);
+  BeginLeaving(tables_.membership, now + FractionOf(grace, kDeadlineFraction));
   stop_timer_.expires_after(listen_time);
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error)
--- a/src/process/membership/membership_table.cc
+++ b/src/process/membership/membership_table.cc
@@ -39,9 +39,16 @@
   return table.own_state;
 }
 
-void BeginLeaving(MembershipTable& table) {
+void BeginLeaving(MembershipTable& table,
+                  std::optional<TimePoint> requests_end) {
   OrderedLock lock(table.mutex);
   table.own_state = InstanceState::kLeaving;
+  table.requests_end = requests_end;
+}
+
+std::optional<TimePoint> RequestsEnd(const MembershipTable& table) {
+  OrderedLock lock(table.mutex);
+  return table.requests_end;
 }
 
 void EnterService(MembershipTable& table) {
--- a/src/process/membership/membership_table.h
+++ b/src/process/membership/membership_table.h
@@ -27,6 +27,9 @@
   mutable OrderedMutex mutex{LockRank::kMembership};
   Instance self;
   InstanceState own_state = InstanceState::kJoining;
+  /** While leaving: what still runs at this time is cut; unset if nothing is.
+   */
+  std::optional<TimePoint> requests_end;
   /** True while this instance serves no keyed requests. */
   bool own_fenced = false;
   InstanceList list;
@@ -45,9 +48,14 @@
 
 /**
  * Starts a planned stop: heartbeats report it, and callers get the addresses of
- * other instances if there are any.
+ * other instances if there are any. Requests have to end by `requests_end`, if
+ * it is set.
  */
-void BeginLeaving(MembershipTable& table);
+void BeginLeaving(MembershipTable& table,
+                  std::optional<TimePoint> requests_end = std::nullopt);
+
+/** When the running requests of a planned stop have to have ended, if ever. */
+std::optional<TimePoint> RequestsEnd(const MembershipTable& table);
 
 /** Goes from joining to serving; has no effect in other states. */
 void EnterService(MembershipTable& table);
--- a/src/request/io/request_handler.cc
+++ b/src/request/io/request_handler.cc
@@ -203,9 +203,21 @@
   request_.traits.idempotent =
       IsIdempotent(View(header_.method_string()), route);
   request_.is_head = header_.method() == http::verb::head;
+  if (MayBeCutByStop())
+    return ErrorKind::kStopping;
   return std::nullopt;
 }
 
+// At the end of a planned stop, a running request is cut without an answer.
+// While new callers are accepted, a request that may be repeated is worth the
+// risk: nearly all end long before their deadline.
+bool RequestHandler::MayBeCutByStop() const {
+  const auto requests_end = RequestsEnd(context_.tables.membership);
+  if (!requests_end || request_.deadline <= *requests_end)
+    return false;
+  return caller_.draining || !request_.traits.idempotent;
+}
+
 std::optional<ErrorKind> RequestHandler::Admit(YieldContext yield) {
   const ClientAccount* account = request_.authorisation.client_account;
   if (!account)
--- a/src/request/io/request_handler.h
+++ b/src/request/io/request_handler.h
@@ -54,6 +54,7 @@
   bool IsAddressRequest() const;
   bool ServeAddresses(YieldContext yield);
   std::optional<ErrorKind> PrepareRequest();
+  bool MayBeCutByStop() const;
   std::optional<ErrorKind> Admit(YieldContext yield);
   std::optional<ErrorKind> AdmitByUsage(const ClientAccountId& account,
                                         YieldContext yield);
--- a/tests/connection/session_test.cc
+++ b/tests/connection/session_test.cc
@@ -235,5 +235,29 @@
   EXPECT_THROW(Connect(), boost::system::system_error);
 }
 
+// Guards against a request that is passed on late in a planned stop and cut
+// without an answer at its end. Reported by operators of another system.
+TEST_F(SessionTest, RequestThatMayOutlastTheStopIsRefused) {
+  StartWith(RespondToAll("ok"));
+  TestConnection late = Connect();
+  late.Write("GET /open HTTP/1.1\r\n");
+  ASSERT_TRUE(
+      Eventually([this] { return listener_->running_requests() == 1; }));
+  BeginLeaving(tables_.membership, clock_.Now() + route_timeout_ / 2);
+  const auto refused = AllOf(
+      StartsWith("HTTP/1.1 503"), HasSubstr("Mangodoor-Error: stopping"),
+      HasSubstr("Mangodoor-Outcome: not-run"), HasSubstr("Connection: close"));
+  const std::string post = "POST /open HTTP/1.1\r\nHost: a\r\n";
+  EXPECT_THAT(Exchange(post + "Content-Length: 0\r\n\r\n"), refused);
+  EXPECT_THAT(Exchange(post + "Content-Length: 0\r\n"
+                              "X-Request-Timeout-Ms: 1000\r\n\r\n"),
+              EndsWith("ok"));
+  EXPECT_THAT(Exchange(kGet), EndsWith("ok"));
+  listener_->Drain([] {});
+  // The end of the head comes when no new callers are accepted any more.
+  late.Write("Host: a\r\n\r\n");
+  EXPECT_THAT(late.ReadAll(), refused);
+}
+
 }  // namespace
 }  // namespace mangodoor
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -84,6 +84,8 @@
   uint64_t version = 0;
   bool key_withdrawn = false;
   double tenant_rate_per_s = 10000;
+  /** Time limit of every route. */
+  std::chrono::milliseconds route_timeout{2000};
   /**
    * Path prefix of one more route, by which tests see which version is in
    * force; empty for none.
@@ -125,6 +127,10 @@
                       const std::string& id,
                       const std::string& method = "GET",
                       const std::string& path = "/work/x") const;
+  /** The fields that Call sends, with another time that the caller waits. */
+  static std::map<std::string, std::string> FieldsOf(
+      const std::string& id,
+      std::chrono::milliseconds time_limit);
   nlohmann::json ServerCounters(int index) const;
   /** Number of runs of each request over all servers, by request id. */
   std::map<std::string, int> Runs() const;
--- a/tests/platform_fleet/platform_fleet_test.cc
+++ b/tests/platform_fleet/platform_fleet_test.cc
@@ -12,6 +12,7 @@
 using std::chrono::seconds;
 using ::testing::HasSubstr;
 using ::testing::IsEmpty;
+using ::testing::Not;
 
 constexpr seconds kStartLimit(5);
 
@@ -187,6 +188,35 @@
     EXPECT_EQ(all_runs.count(id), 0U) << id << " ran, but has no answer";
 }
 
+// Guards against requests that come late in the grace of a planned stop, are
+// passed on, and are cut without an answer when the grace ends, although they
+// may not be repeated. Reported by operators of another system.
+TEST(PlatformFleetTest, LateRequestsOfAPlannedStopGetAnAnswer) {
+  PlatformPlan plan;
+  // Servers that are at work beyond the end of the grace.
+  plan.work_ms = 4000;
+  PlatformFleet fleet(plan);
+  fleet.route_timeout = seconds(5);
+  fleet.Publish();
+  ASSERT_TRUE(WaitFor([&fleet] { return fleet.IsReady(0); }, kStartLimit));
+  std::this_thread::sleep_for(kConfigurationLimit);
+  fleet.instance(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(1900));
+  const auto call = [&fleet](const char* id, milliseconds time_limit) {
+    return CallOnce(
+        fleet.caller_endpoint(0),
+        {"POST", "/order/x", PlatformFleet::FieldsOf(id, time_limit), ""});
+  };
+  const ClientResponse in_time = call("in-time", milliseconds(300));
+  const ClientResponse outlasting = call("outlasting", milliseconds(4500));
+  EXPECT_EQ(outlasting.status, 503);
+  EXPECT_EQ(outlasting.error, "stopping");
+  EXPECT_EQ(outlasting.outcome, "not-run");
+  EXPECT_EQ(in_time.status, 504);
+  EXPECT_EQ(fleet.instance(0).WaitForExit(kStopGrace), 0);
+  EXPECT_THAT(fleet.LogOf(0), Not(HasSubstr("requests_cut_at_stop")));
+}
+
 // Guards against a fleet that does not recover after all instances are killed.
 TEST(PlatformFleetTest, KilledFleetRecovers) {
   PlatformFleet fleet({});
