--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -241,6 +241,8 @@
   Json resources = {route("/work/", "safe"), route("/order/", "unsafe")};
   if (!extra_prefix.empty())
     resources.push_back(route(extra_prefix, "safe"));
+  for (int i = 0; i < filler_routes; ++i)
+    resources.push_back(route("/filler/" + std::to_string(i) + "/", "safe"));
   resources.push_back(
       {{"ResourceKind", "Services"},
        {"Metadata", {{"Name", "work"}}},
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -91,6 +91,8 @@
    * force; empty for none.
    */
   std::string extra_prefix;
+  /** Number of further routes, which make the configuration large. */
+  int filler_routes = 0;
 
   void Evacuate(int zone, bool out);
   /** Writes an item of the store as another writer would. */
--- a/tests/soak_fleet/soak_plan.cc
+++ b/tests/soak_fleet/soak_plan.cc
@@ -66,6 +66,7 @@
 // single faults of a seed stay the same.
 constexpr uint64_t kResponseSeriesSeed = 0x5e51e5;
 constexpr uint64_t kOperatorSeriesSeed = 0x09e7a7;
+constexpr uint64_t kStoreSeriesSeed = 0x57a1e;
 constexpr int kMaxSeriesIntervalMs = 3000;
 constexpr int kMaxOperatorIntervalMs = 9000;
 
@@ -118,6 +119,30 @@
   }
 }
 
+// An instance that is stopped while pages are stale starts with such a copy.
+std::vector<SoakFault> PlanStoreSeries(uint64_t seed, const SoakSize& size) {
+  Random random(seed ^ kStoreSeriesSeed);
+  std::vector<SoakFault> faults;
+  milliseconds at = kStartDelay;
+  while (at < size.length - kEndMargin) {
+    SoakFault fault;
+    fault.at = at;
+    if (RandomBelow(random, 3) == 0) {
+      fault.kind = SoakFaultKind::kLargeVersions;
+      faults.push_back(fault);
+    } else {
+      fault.kind = SoakFaultKind::kStoreStale;
+      fault.duration = milliseconds(1000 + RandomBelow(random, 4000));
+      faults.push_back(fault);
+      fault.kind = SoakFaultKind::kStopInstance;
+      fault.target = RandomBelow(random, size.instances);
+      faults.push_back(fault);
+    }
+    at += milliseconds(1000 + RandomBelow(random, kMaxOperatorIntervalMs));
+  }
+  return faults;
+}
+
 std::vector<SoakFault> PlanSingleFaults(uint64_t seed, const SoakSize& size) {
   Random random(seed);
   std::vector<SoakFault> faults;
@@ -172,6 +197,10 @@
       return "reload settings of instance";
     case SoakFaultKind::kServerResponses:
       return "faulty responses of server";
+    case SoakFaultKind::kStoreStale:
+      return "store has stale pages";
+    case SoakFaultKind::kLargeVersions:
+      return "large versions";
   }
   return "";
 }
@@ -182,6 +211,8 @@
     faults.push_back(fault);
   for (const SoakFault& fault : PlanOperatorSeries(seed, size))
     faults.push_back(fault);
+  for (const SoakFault& fault : PlanStoreSeries(seed, size))
+    faults.push_back(fault);
   for (SoakFault& fault : faults) {
     fault.duration =
         std::min(fault.duration, size.length - kEndMargin / 2 - fault.at);
--- a/tests/soak_fleet/soak_plan.h
+++ b/tests/soak_fleet/soak_plan.h
@@ -47,6 +47,10 @@
   // Only in the series of PlanSoak.
   kReloadInstance,
   kServerResponses,
+  /** Pages of the store that may be stale have two ages. */
+  kStoreStale,
+  /** Large versions in quick succession. */
+  kLargeVersions,
 };
 
 const char* FaultName(SoakFaultKind kind);
@@ -70,7 +74,8 @@
 
 /**
  * Returns the faults of a run, ordered by start time: single faults, series of
- * faulty responses of several servers, and series of signals and new versions.
+ * faulty responses of several servers, series of signals and new versions, and
+ * trouble with what the store holds.
  * The seed determines all of them.
  */
 std::vector<SoakFault> PlanSoak(uint64_t seed, const SoakSize& size);
--- a/tests/soak_fleet/soak_record.cc
+++ b/tests/soak_fleet/soak_record.cc
@@ -11,6 +11,9 @@
 constexpr Duration kInForceBound = std::chrono::milliseconds(2000);
 constexpr Duration kEvacuationBound = std::chrono::milliseconds(5000);
 constexpr Duration kSettleTime = std::chrono::milliseconds(3000);
+// Time limit of the routes, and how much later a request may have no answer.
+constexpr Duration kRouteTimeout = std::chrono::milliseconds(2000);
+constexpr Duration kAnswerSlack = std::chrono::milliseconds(500);
 constexpr Duration kRollbackSlack = std::chrono::milliseconds(250);
 
 // Memory of the smallest machine of the users.
@@ -89,6 +92,23 @@
   }
 }
 
+/** An answer is final if it is complete or its connection has ended. */
+void CheckFinalAnswers(const SoakRecord& record, Violations& violations) {
+  for (const ObservedRequest& request : record.requests) {
+    const Duration took = request.ended_at - request.sent_at;
+    if (took <= kRouteTimeout + kAnswerSlack ||
+        !IsUndisturbed(record, request.instance, request.sent_at,
+                       request.ended_at))
+      continue;
+    violations.push_back(
+        Named(record, request) + " had no final answer after " +
+        std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(took)
+                .count()) +
+        " ms");
+  }
+}
+
 bool AnsweredBy(const SoakRecord& record,
                 const ObservedRequest& request,
                 const std::string& server_id) {
@@ -260,6 +280,7 @@
   CheckRollback(record, violations);
   CheckEvacuations(record, violations);
   CheckMemory(record, violations);
+  CheckFinalAnswers(record, violations);
   return violations;
 }
 
--- a/tests/soak_fleet/soak_record_test.cc
+++ b/tests/soak_fleet/soak_record_test.cc
@@ -230,6 +230,16 @@
   EXPECT_THAT(FindViolations(record_), IsEmpty());
 }
 
+// Guards against a request without an end that the record accepts.
+TEST_F(SoakRecordTest, RequestWithoutFinalAnswerIsFound) {
+  ObservedRequest& request = AddRequest(0, true);
+  request.ended_at = request.sent_at + milliseconds(2600);
+  EXPECT_THAT(FindViolations(record_),
+              ElementsAre(HasSubstr("had no final answer after 2600 ms")));
+  record_.fault_periods = {{0, At(seconds(7)), At(seconds(7))}};
+  EXPECT_THAT(FindViolations(record_), IsEmpty());
+}
+
 // Guards against a plan that cannot be reproduced from its seed.
 TEST(SoakPlanTest, SeedGivesTheSameFaults) {
   const SoakSize size;
--- a/tests/soak_fleet/soak_run.cc
+++ b/tests/soak_fleet/soak_run.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kVersionCheckInterval(200);
 constexpr milliseconds kRequestTimeout(3000);
 constexpr seconds kClearFaultsTimeout(5);
+// Together more than an instance accepts in one answer of the store.
+constexpr int kLargeVersions = 14;
+constexpr int kFillerRoutes = 3000;
 constexpr milliseconds kTick(20);
 
 TimePoint Now() {
@@ -226,6 +229,11 @@
   switch (fault.kind) {
     case SoakFaultKind::kNewVersion:
       return PublishVersion();
+    case SoakFaultKind::kLargeVersions:
+      return PublishLargeVersions();
+    case SoakFaultKind::kStoreStale:
+      // Not a fault period: any read that may be stale can be answered so.
+      return fleet_.SetStoreMode("stale");
     case SoakFaultKind::kReloadInstance:
       if (fleet_.HasInstance(fault.target))
         fleet_.instance(fault.target).Signal(SIGHUP);
@@ -335,6 +343,7 @@
     case SoakFaultKind::kStoreLink:
       return fleet_.store_relay(fault.target).Heal();
     case SoakFaultKind::kStoreMode:
+    case SoakFaultKind::kStoreStale:
       return fleet_.SetStoreMode("serves");
     case SoakFaultKind::kEvacuate: {
       {
@@ -433,6 +442,14 @@
   current_version_ = version;
 }
 
+void SoakRun::PublishLargeVersions() {
+  fleet_.filler_routes = kFillerRoutes;
+  for (int i = 0; i < kLargeVersions; ++i)
+    PublishVersion();
+  fleet_.filler_routes = 0;
+  PublishVersion();
+}
+
 void SoakRun::RecordMemory(int instance) {
   const uint64_t bytes = fleet_.instance(instance).PeakMemory();
   const InstanceProcess process{instance,
--- a/tests/soak_fleet/soak_run.h
+++ b/tests/soak_fleet/soak_run.h
@@ -58,6 +58,7 @@
   void RecordMemory(int instance);
   void Restart(int instance);
   void PublishVersion();
+  void PublishLargeVersions();
   size_t BeginFaultPeriod(int instance);
   /** Sends servers the faults that the plan wants, if they differ. */
   void UpdateServerFaults();
