--- a/tests/connection/fake_server.cc
+++ b/tests/connection/fake_server.cc
@@ -18,8 +18,46 @@
   return found == std::string::npos ? 0 : std::stoul(head.substr(found + 16));
 }
 
+/** Reads a line without its end; empty if the connection ends first. */
+std::string ReadLine(TestConnection& connection) {
+  while (connection.buffer().find("\r\n") == std::string::npos) {
+    if (!connection.ReadSome())
+      return "";
+  }
+  const size_t size = connection.buffer().find("\r\n");
+  return connection.ReadExactly(size + 2).substr(0, size);
+}
+
+ReceivedBody ReadChunks(TestConnection& connection) {
+  ReceivedBody body;
+  for (;;) {
+    const std::string line = ReadLine(connection);
+    if (line.empty())
+      return body;
+    const size_t size = std::stoull(line, nullptr, 16);
+    if (size == 0) {
+      body.is_whole = connection.ReadExactly(2) == "\r\n";
+      return body;
+    }
+    const std::string data = connection.ReadExactly(size);
+    body.bytes += data;
+    if (data.size() < size || connection.ReadExactly(2).size() < 2)
+      return body;
+  }
+}
+
 }  // namespace
 
+ReceivedBody ReadBody(TestConnection& connection, const std::string& head) {
+  if (head.find("\r\nTransfer-Encoding: chunked\r\n") != std::string::npos)
+    return ReadChunks(connection);
+  const size_t size = ContentLength(head);
+  ReceivedBody body;
+  body.bytes = connection.ReadExactly(size);
+  body.is_whole = body.bytes.size() == size;
+  return body;
+}
+
 TestConnection::TestConnection(tcp::socket socket)
     : socket_(std::move(socket)) {
   timeval limit{kReadLimit.count(), 0};
--- a/tests/connection/fake_server.h
+++ b/tests/connection/fake_server.h
@@ -62,6 +62,15 @@
   bool reset_by_peer_ = false;
 };
 
+/** The body of a message, as far as it has arrived. */
+struct ReceivedBody {
+  std::string bytes;
+  bool is_whole = false;
+};
+
+/** Reads the body that follows `head`, with a length or in chunks. */
+ReceivedBody ReadBody(TestConnection& connection, const std::string& head);
+
 /** A backend server that runs a script for each connection. */
 class FakeServer {
  public:
--- a/tests/soak_fleet/soak_plan.h
+++ b/tests/soak_fleet/soak_plan.h
@@ -75,8 +75,7 @@
 /**
  * Returns the faults of a run, ordered by start time: single faults, series of
  * faulty responses of several servers, series of signals and new versions, and
- * trouble with what the store holds.
- * The seed determines all of them.
+ * trouble with what the store holds. The seed determines all of them.
  */
 std::vector<SoakFault> PlanSoak(uint64_t seed, const SoakSize& size);
 
