Log how each change of the store reaches an instance

An on-call engineer could not tell why an instance had an older version: document_considered named version and revision, not when the change was read, how it came, its size, or how long it waited and was decoded. Links that time out were not told apart from links that a peer closes.

New lines: store_read, feed_requested, feed_sent, feed_received and peer_timed_out; document_considered has bytes, waited_ms and decode_ms. They are written once for a read, a message with changes or a lost link, so their number is bounded by these.

No decision changes.

--- a/src/process/io/log.cc
+++ b/src/process/io/log.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cmath>
 #include <exception>
 #include <nlohmann/json.hpp>
 
@@ -62,6 +63,13 @@
 
 }  // namespace
 
+double Milliseconds(Duration duration) {
+  // A tenth of a millisecond is precise enough, and keeps lines short.
+  const double tenths =
+      std::chrono::duration<double, std::milli>(duration).count() * 10;
+  return std::round(tenths) / 10;
+}
+
 void ConfigureLog(LogLevel minimum) {
   el::Configurations configuration;
   configuration.setToDefault();
--- a/src/process/io/log.h
+++ b/src/process/io/log.h
@@ -35,6 +35,9 @@
   Value value;
 };
 
+/** A duration as logged in fields whose names end in `_ms`. */
+double Milliseconds(Duration duration);
+
 /**
  * Sets up logging to standard output, for lines of level `minimum` and above.
  * Must be called once, before the first line. A line of 4 KiB or more, or one
--- a/src/process/io/registry_applier.cc
+++ b/src/process/io/registry_applier.cc
@@ -63,10 +63,12 @@
   return true;
 }
 
-void RegistryApplier::Apply(const std::vector<StoreItem>& items) {
+void RegistryApplier::Apply(const std::vector<StoreItem>& items,
+                            Duration waited) {
   // The lock is held during the whole call, so that batches are applied one by
   // one.
   OrderedLock lock(mutex_);
+  waited_ = waited;
   ServerChanges changes;
   // Decoding a version with a thousand routes takes milliseconds, and a burst
   // of changes contains many versions, of which only the latest matters.
@@ -82,6 +84,8 @@
 bool RegistryApplier::Keep(std::vector<StoreItem> items) {
   OrderedLock lock(kept_mutex_);
   const bool is_first = kept_.empty();
+  if (is_first)
+    kept_since_ = clock_.Now();
   kept_.insert(kept_.end(), std::make_move_iterator(items.begin()),
                std::make_move_iterator(items.end()));
   return is_first;
@@ -89,14 +93,17 @@
 
 void RegistryApplier::ApplyKept() {
   std::vector<StoreItem> items;
+  Duration waited{};
   {
     OrderedLock lock(kept_mutex_);
     items.swap(kept_);
+    waited = clock_.Now() - kept_since_;
   }
-  Apply(items);
+  Apply(items, waited);
 }
 
 void RegistryApplier::Decode(const StoreItem& item, ServerChanges& changes) {
+  const TimePoint decode_started = clock_.Now();
   const DecodedItem decoded = decode_(item, clock_.WallNow());
   std::vector<Fault> faults;
   if (const auto* record = std::get_if<ServerRecord>(&decoded)) {
@@ -107,7 +114,7 @@
   } else if (const auto* command = std::get_if<DataCentreCommand>(&decoded)) {
     ApplyCommand(*command, item);
   } else if (const auto* version = std::get_if<VersionPtr>(&decoded)) {
-    ApplyDocument(*version, item);
+    ApplyDocument(*version, item, decode_started);
   } else if (const auto* invalid = std::get_if<InvalidDocument>(&decoded)) {
     faults = invalid->faults;
   }
@@ -118,12 +125,17 @@
 }
 
 void RegistryApplier::ApplyDocument(const VersionPtr& version,
-                                    const StoreItem& item) {
+                                    const StoreItem& item,
+                                    TimePoint decode_started) {
+  const Duration decode_time = clock_.Now() - decode_started;
   const ApplyOutcome outcome =
       AdoptVersionIfNewer(tables_.versions, version, clock_.WallNow());
   Log(LogLevel::kInfo, "document_considered",
       {{"version", version->document.version},
        {"revision", item.revision},
+       {"bytes", item.value.size()},
+       {"waited_ms", Milliseconds(waited_)},
+       {"decode_ms", Milliseconds(decode_time)},
        {"in_force", outcome == ApplyOutcome::kInForce}});
   if (outcome != ApplyOutcome::kInForce)
     return;
--- a/src/process/io/registry_applier.h
+++ b/src/process/io/registry_applier.h
@@ -29,9 +29,10 @@
 
   /**
    * Applies written and deleted items. The changes of a key can arrive in any
-   * order; one that is older than the latest applied has no effect.
+   * order; one that is older than the latest applied has no effect. `waited`
+   * is how long they were kept, for logs.
    */
-  void Apply(const std::vector<StoreItem>& items);
+  void Apply(const std::vector<StoreItem>& items, Duration waited = {});
 
   /**
    * Keeps items until ApplyKept is called. Returns true if it has to be called
@@ -56,7 +57,9 @@
    * been applied.
    */
   bool UpdateRevision(const StoreItem& item);
-  void ApplyDocument(const VersionPtr& version, const StoreItem& item);
+  void ApplyDocument(const VersionPtr& version,
+                     const StoreItem& item,
+                     TimePoint decode_started);
   void ApplyCommand(const DataCentreCommand& command, const StoreItem& item);
   /** Decodes the item, and applies it unless it is a server's. */
   void Decode(const StoreItem& item, ServerChanges& changes);
@@ -74,8 +77,12 @@
   OrderedMutex kept_mutex_{LockRank::kFeedApply};
   // Guarded by `kept_mutex_`.
   std::vector<StoreItem> kept_;
+  /** When the first of `kept_` was kept. */
+  TimePoint kept_since_{};
   // Never held together with `kept_mutex_`. Guards the members below.
   OrderedMutex mutex_{LockRank::kFeedApply};
+  /** How long the items that are being applied were kept, for logs. */
+  Duration waited_{};
   /** Revision of the latest applied change of each key. */
   std::map<std::string, uint64_t> revisions_;
   /** Why the item of a key cannot be used; only keys of such items. */
--- a/src/process/io/store_feed.cc
+++ b/src/process/io/store_feed.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "process/io/feed_log.h"
 #include "process/io/log.h"
 #include "process/peers/io/peer_connection_manager.h"
 #include "process/tables.h"
@@ -15,13 +16,6 @@
 // announced only a few times.
 constexpr Duration kLeaderSendInterval = std::chrono::milliseconds(300);
 
-void LogReload(const ReloadSummary& reload) {
-  Log(LogLevel::kInfo, "store_reloaded",
-      {{"revision", reload.revision},
-       {"pages", reload.pages},
-       {"newest_page", reload.newest_page}});
-}
-
 }  // namespace
 
 StoreFeed::StoreFeed(const StoreFeedContext& context,
@@ -55,7 +49,10 @@
 void StoreFeed::HandleUpdate(const InstanceId& from,
                              const FeedUpdate& update,
                              TimePoint now) {
-  Run(HandleFeedUpdate(context_.feed, CurrentTopology(), from, update, now));
+  FeedActions actions =
+      HandleFeedUpdate(context_.feed, CurrentTopology(), from, update, now);
+  LogUpdateReceived(from, update, actions);
+  Run(std::move(actions));
 }
 
 FeedTopology StoreFeed::CurrentTopology() const {
@@ -66,10 +63,14 @@
 void StoreFeed::Run(FeedActions actions) {
   if (actions.reloaded)
     LogReload(*actions.reloaded);
-  for (const OutgoingMessage& outgoing : actions.messages)
+  for (const OutgoingMessage& outgoing : actions.messages) {
+    LogFeedMessage(outgoing, actions.behind_for);
     context_.peers.Send(outgoing.to, outgoing.message);
-  for (const FeedPush& push : actions.pushes)
+  }
+  for (const FeedPush& push : actions.pushes) {
+    LogFeedPush(push);
     context_.peers.SendAll(push.to, push.update);
+  }
   if (!actions.changed_items.empty()) {
     if (applier_.Keep(std::move(actions.changed_items)))
       boost::asio::post(store_pool_.context(),
@@ -83,8 +84,9 @@
   if (read.kind == ReadStart::Kind::kNone)
     return;
   ++context_.tables.counters.configuration_reads;
-  const auto done = [this](StoreAnswer answer) {
-    FinishRead(std::move(answer));
+  const TimePoint started = context_.clock.Now();
+  const auto done = [this, started](StoreAnswer answer) {
+    FinishRead(std::move(answer), started);
   };
   if (read.kind == ReadStart::Kind::kPage)
     store_->ReadPage(read.after_key, read.consistency, done);
@@ -92,7 +94,9 @@
     store_->Watch(read.after_revision, read.wait, done);
 }
 
-void StoreFeed::FinishRead(StoreAnswer answer) {
+void StoreFeed::FinishRead(StoreAnswer answer, TimePoint started) {
+  const TimePoint now = context_.clock.Now();
+  LogStoreRead(answer, now - started);
   if (answer.kind != StoreAnswer::Kind::kItems) {
     Log(LogLevel::kWarning, "store_read_failed",
         {{"reason", answer.reason}, {"revision", FeedRevision(context_.feed)}});
@@ -100,7 +104,7 @@
     applier_.ReportUnreadable(answer.reason);
   }
   Run(FinishStoreRead(context_.feed, CurrentTopology(), std::move(answer),
-                      context_.clock.Now()));
+                      now));
 }
 
 // If this instance is the leader of its data centre, sends the new revision to
--- a/src/process/io/store_feed.h
+++ b/src/process/io/store_feed.h
@@ -54,7 +54,7 @@
   FeedTopology CurrentTopology() const;
   void Run(FeedActions actions);
   void StartRead(const ReadStart& read);
-  void FinishRead(StoreAnswer answer);
+  void FinishRead(StoreAnswer answer, TimePoint started);
   void SendToOtherLeaders();
 
   const StoreFeedContext context_;
--- a/src/process/peers/io/peer_connection_manager.cc
+++ b/src/process/peers/io/peer_connection_manager.cc
@@ -229,16 +229,25 @@
       callbacks_.lost(*lost);
   }
 
+  static void LogTimedOut(const TimedOutLink& timed_out) {
+    Log(LogLevel::kWarning, "peer_timed_out",
+        {{"peer", timed_out.peer ? timed_out.peer->value()
+                                 : std::string("not authenticated")},
+         {"silent_ms", Milliseconds(timed_out.silent_for)}});
+  }
+
   void Maintain() {
     {
       OrderedLock lock(registry_.mutex);
       if (registry_.stopped)
         return;
     }
-    for (const LinkId link :
+    for (const TimedOutLink& timed_out :
          FindTimedOutLinks(registry_, settings_.limits.handshake_timeout,
-                           settings_.limits.silence_timeout, clock_.Now()))
-      RemoveAndClose(link);
+                           settings_.limits.silence_timeout, clock_.Now())) {
+      LogTimedOut(timed_out);
+      RemoveAndClose(timed_out.link);
+    }
     ConnectToTargets();
     timer_.expires_after(kMaintenanceInterval);
     timer_.async_wait([this](const boost::system::error_code& error) {
--- a/src/process/peers/io/peer_registry.cc
+++ b/src/process/peers/io/peer_registry.cc
@@ -150,18 +150,18 @@
     found->second.link = link;
 }
 
-std::vector<LinkId> FindTimedOutLinks(const PeerRegistry& registry,
-                                      Duration handshake_timeout,
-                                      Duration silence_timeout,
-                                      TimePoint now) {
+std::vector<TimedOutLink> FindTimedOutLinks(const PeerRegistry& registry,
+                                            Duration handshake_timeout,
+                                            Duration silence_timeout,
+                                            TimePoint now) {
   OrderedLock lock(registry.mutex);
-  std::vector<LinkId> timed_out;
+  std::vector<TimedOutLink> timed_out;
   for (const auto& [link, state] : registry.links) {
-    const bool is_timed_out = state->peer
-                                  ? now - state->last_received > silence_timeout
-                                  : now - state->opened_at > handshake_timeout;
-    if (is_timed_out)
-      timed_out.push_back(link);
+    const TimePoint heard =
+        state->peer ? state->last_received : state->opened_at;
+    const Duration timeout = state->peer ? silence_timeout : handshake_timeout;
+    if (now - heard > timeout)
+      timed_out.push_back({link, state->peer, now - heard});
   }
   return timed_out;
 }
--- a/src/process/peers/io/peer_registry.h
+++ b/src/process/peers/io/peer_registry.h
@@ -106,14 +106,22 @@
 /** Sets the connection that is about to be opened to a target. */
 void SetTargetLink(PeerRegistry& registry, const InstanceId& peer, LinkId link);
 
+/** A connection to be closed because its peer sends nothing. */
+struct TimedOutLink {
+  LinkId link = 0;
+  /** Unset if the peer is not authenticated. */
+  std::optional<InstanceId> peer;
+  Duration silent_for{};
+};
+
 /**
  * Connections whose peer has been silent for longer than `silence_timeout`, or
  * whose handshake has taken longer than `handshake_timeout`.
  */
-std::vector<LinkId> FindTimedOutLinks(const PeerRegistry& registry,
-                                      Duration handshake_timeout,
-                                      Duration silence_timeout,
-                                      TimePoint now);
+std::vector<TimedOutLink> FindTimedOutLinks(const PeerRegistry& registry,
+                                            Duration handshake_timeout,
+                                            Duration silence_timeout,
+                                            TimePoint now);
 
 std::vector<LinkId> AllLinks(const PeerRegistry& registry);
 
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -123,6 +123,12 @@
   }
 }
 
+std::optional<Duration> BehindFor(const Feed& feed, TimePoint now) {
+  if (!feed.behind_since)
+    return std::nullopt;
+  return now - *feed.behind_since;
+}
+
 /** Sets `behind_since` if a peer is ahead of this copy, or clears it. */
 void UpdateBehindSince(Feed& feed, TimePoint now) {
   if (feed.highest_peer_revision <= feed.replica.revision)
@@ -142,6 +148,7 @@
   inputs.lower_rank_reads = LowerRankReads(feed, topology, now);
   inputs.revision = feed.replica.revision;
   inputs.behind_since = feed.behind_since;
+  actions.behind_for = BehindFor(feed, now);
   actions.read = PlanRead(feed.reader, inputs);
   return actions;
 }
@@ -154,6 +161,7 @@
   FeedActions actions;
   const StoreAnswer::Kind kind = answer.kind;
   const uint64_t before = feed.replica.revision;
+  actions.behind_for = BehindFor(feed, now);
   if (kind == StoreAnswer::Kind::kItems) {
     if (feed.reader.phase == FeedReader::Phase::kReloading) {
       if (!AddPage(feed.reader.reload, std::move(answer))) {
@@ -203,6 +211,7 @@
   feed.highest_peer_revision =
       std::max(feed.highest_peer_revision, heartbeat.store_revision);
   UpdateBehindSince(feed, now);
+  actions.behind_for = BehindFor(feed, now);
   const bool is_local = topology.local_peers.count(from) > 0;
   if (!is_local && LocalInstanceReads(feed, topology, now) &&
       now - *feed.behind_since < kRemoteRequestDelay)
@@ -233,6 +242,7 @@
                              TimePoint now) {
   OrderedLock lock(feed.mutex);
   FeedActions actions;
+  actions.behind_for = BehindFor(feed, now);
   const uint64_t before = feed.replica.revision;
   const StoreChanges& changes = update.changes;
   if (CanApply(feed.replica, changes)) {
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -72,6 +72,9 @@
   std::vector<StoreItem> changed_items;
   /** Set when a full read of the store has ended. */
   std::optional<ReloadSummary> reloaded;
+  /** For logs: how long a peer has been ahead of this copy; unset if none is.
+   */
+  std::optional<Duration> behind_for;
 };
 
 /** This instance's rank in its data centre, and its local links. */
--- a/src/request/io/request_log.cc
+++ b/src/request/io/request_log.cc
@@ -1,7 +1,5 @@
 #include "request/io/request_log.h"
 
-#include <cmath>
-
 #include "process/io/log.h"
 
 namespace mangodoor {
@@ -10,13 +8,6 @@
 // At about 500 bytes a line, an instance writes at most 50 kB a second.
 constexpr int kLinesPerSecond = 100;
 
-double Milliseconds(Duration duration) {
-  // A tenth of a millisecond is precise enough, and keeps lines short.
-  const double tenths =
-      std::chrono::duration<double, std::milli>(duration).count() * 10;
-  return std::round(tenths) / 10;
-}
-
 }  // namespace
 
 RequestLog::RequestLog(const Clock& clock)
