--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -12,6 +12,32 @@
 constexpr Duration kReadTimeout = milliseconds(800);
 constexpr Duration kHeartbeatInterval = milliseconds(400);
 
+// What a message has besides its items, and an item besides its key and value.
+constexpr size_t kMessageBytes = 64;
+constexpr size_t kItemBytes = 16;
+
+// The store sends values in base64.
+constexpr double kStoreBytesPerByte = 4.0 / 3.0;
+
+size_t BytesOf(const std::vector<StoreItem>& items) {
+  size_t bytes = 0;
+  for (const StoreItem& item : items)
+    bytes += kItemBytes + item.key.size() + item.value.size();
+  return bytes;
+}
+
+size_t BytesOf(const PeerMessage& message) {
+  const auto* update = std::get_if<FeedUpdate>(&message);
+  return kMessageBytes + (update ? BytesOf(update->changes.items) : 0);
+}
+
+Duration TransferTime(size_t bytes, const SimMachine& machine) {
+  if (machine.link_bytes_per_s == 0)
+    return Duration::zero();
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      static_cast<double>(bytes) / machine.link_bytes_per_s));
+}
+
 }  // namespace
 
 void SimStore::Put(const std::string& key, const std::string& value) {
@@ -106,7 +132,10 @@
   SimFeedInstance& restarted = instance(index);
   restarted.feed = std::make_unique<Feed>();
   restarted.read.reset();
+  restarted.answer.reset();
   restarted.applied.clear();
+  restarted.kept.clear();
+  restarted.decoding.clear();
   restarted.next_heartbeat.reset();
   restarted.running = true;
 }
@@ -142,20 +171,53 @@
   for (OutgoingMessage& outgoing : actions.messages) {
     instance.updates +=
         std::holds_alternative<FeedUpdate>(outgoing.message) ? 1 : 0;
-    messages_.push_back({instance.id, std::move(outgoing)});
+    Enqueue(instance, std::move(outgoing));
   }
   for (const FeedPush& push : actions.pushes) {
     instance.updates += static_cast<int>(push.to.size());
     for (const InstanceId& to : push.to)
-      messages_.push_back({instance.id, {to, push.update}});
+      Enqueue(instance, {to, push.update});
+  }
+  for (const StoreItem& item : actions.changed_items)
+    instance.kept[item.key] = item;
+  Decode(instance);
+  StartRead(instance, actions.read);
+}
+
+void RegistrySim::Enqueue(SimFeedInstance& sender, OutgoingMessage outgoing) {
+  const size_t bytes = BytesOf(outgoing.message);
+  sender.sent_at =
+      std::max(sender.sent_at, now_) + TransferTime(bytes, sender.machine);
+  TimePoint arrives_at = sender.sent_at;
+  for (auto& receiver : instances_) {
+    if (receiver->id != outgoing.to)
+      continue;
+    receiver->received_at = std::max(receiver->received_at, sender.sent_at) +
+                            TransferTime(bytes, receiver->machine);
+    arrives_at = receiver->received_at;
   }
-  for (const StoreItem& item : actions.changed_items) {
+  messages_.push_back({sender.id, std::move(outgoing), arrives_at});
+}
+
+void RegistrySim::Decode(SimFeedInstance& instance) {
+  if (now_ < instance.decoded_at)
+    return;
+  for (const auto& [key, item] : instance.decoding) {
     if (item.deleted)
-      instance.applied.erase(item.key);
+      instance.applied.erase(key);
     else
-      instance.applied[item.key] = item.value;
+      instance.applied[key] = item.value;
   }
-  StartRead(instance, actions.read);
+  instance.decoding.clear();
+  if (instance.kept.empty())
+    return;
+  instance.decoding.swap(instance.kept);
+  instance.decoded_at = now_;
+  for (const auto& [key, item] : instance.decoding) {
+    instance.decoded_at += instance.machine.decode_time_per_byte *
+                           static_cast<int64_t>(item.value.size());
+  }
+  Decode(instance);
 }
 
 void RegistrySim::StartRead(SimFeedInstance& instance, const ReadStart& read) {
@@ -167,6 +229,7 @@
 }
 
 void RegistrySim::AdvanceRead(SimFeedInstance& instance) {
+  FinishRead(instance);
   if (!instance.read)
     return;
   const ReadStart read = *instance.read;
@@ -193,7 +256,20 @@
     if (waits)
       return;
   }
+  const auto body_bytes = static_cast<size_t>(
+      static_cast<double>(BytesOf(answer.items)) * kStoreBytesPerByte);
   instance.read.reset();
+  instance.answer = std::move(answer);
+  instance.answer_arrives_at =
+      now_ + TransferTime(body_bytes, instance.machine);
+  FinishRead(instance);
+}
+
+void RegistrySim::FinishRead(SimFeedInstance& instance) {
+  if (!instance.answer || now_ < instance.answer_arrives_at)
+    return;
+  StoreAnswer answer = std::move(*instance.answer);
+  instance.answer.reset();
   ApplyActions(instance, FinishStoreRead(*instance.feed, TopologyOf(instance),
                                          std::move(answer), now_));
 }
@@ -214,13 +290,20 @@
   FillFeedState(*instance.feed, now_, heartbeat);
   for (const auto& other : instances_) {
     if (Linked(instance, *other))
-      messages_.push_back({instance.id, {other->id, heartbeat}});
+      Enqueue(instance, {other->id, heartbeat});
   }
 }
 
 void RegistrySim::Deliver() {
-  std::deque<Message> messages;
-  messages.swap(messages_);
+  std::vector<Message> messages;
+  for (auto it = messages_.begin(); it != messages_.end();) {
+    if (it->arrives_at > now_) {
+      ++it;
+      continue;
+    }
+    messages.push_back(std::move(*it));
+    it = messages_.erase(it);
+  }
   for (const Message& message : messages) {
     for (auto& receiver : instances_) {
       if (receiver->id != message.outgoing.to || !receiver->running)
@@ -236,12 +319,23 @@
                                                   *request));
       const auto* update = std::get_if<FeedUpdate>(&content);
       if (update && update->changes.items.size() <= max_update_items)
-        ApplyActions(*receiver, HandleFeedUpdate(*receiver->feed, topology,
-                                                 message.from, *update, now_));
+        HandleUpdate(*receiver, message.from, *update);
     }
   }
 }
 
+void RegistrySim::HandleUpdate(SimFeedInstance& receiver,
+                               const InstanceId& from,
+                               const FeedUpdate& update) {
+  FeedActions actions = HandleFeedUpdate(*receiver.feed, TopologyOf(receiver),
+                                         from, update, now_);
+  const size_t bytes = BytesOf(update);
+  receiver.update_bytes += bytes;
+  if (actions.changed_items.empty())
+    receiver.useless_update_bytes += bytes;
+  ApplyActions(receiver, std::move(actions));
+}
+
 void RegistrySim::RunFor(Duration duration) {
   const TimePoint end = now_ + duration;
   while (now_ < end) {
@@ -250,6 +344,7 @@
       if (!instance->running)
         continue;
       AdvanceRead(*instance);
+      Decode(*instance);
       ApplyActions(*instance,
                    TickFeed(*instance->feed, TopologyOf(*instance), now_));
       SendHeartbeat(*instance);
--- a/tests/registry/store_sim.h
+++ b/tests/registry/store_sim.h
@@ -53,6 +53,14 @@
   kLosesWatch,
 };
 
+/** What the machine of a simulated instance can do. */
+struct SimMachine {
+  /** Bytes per second in each direction; 0 if it is not limited. */
+  double link_bytes_per_s = 0;
+  /** Time to decode a byte of a value and put it into force. */
+  Duration decode_time_per_byte{};
+};
+
 /** A simulated instance that reads the store or gets changes from others. */
 struct SimFeedInstance {
   InstanceId id;
@@ -66,12 +74,27 @@
    */
   std::optional<ReadStart> read;
   TimePoint read_ends{};
+  /** The answer to a read that is still on its way. */
+  std::optional<StoreAnswer> answer;
+  TimePoint answer_arrives_at{};
   std::optional<TimePoint> next_heartbeat;
+  SimMachine machine;
+  /** When the link has sent, and received, all messages so far. */
+  TimePoint sent_at{};
+  TimePoint received_at{};
+  /** Changes by key that wait while others are decoded. */
+  std::map<std::string, StoreItem> kept;
+  /** Changes by key that are decoded until `decoded_at`. */
+  std::map<std::string, StoreItem> decoding;
+  TimePoint decoded_at{};
   /** Values by key after all changes that came into force. */
   std::map<std::string, std::string> applied;
   int store_requests = 0;
   /** Number of updates sent to other instances. */
   int updates = 0;
+  /** Bytes of updates received, and of those that brought nothing new. */
+  size_t update_bytes = 0;
+  size_t useless_update_bytes = 0;
   bool running = true;
 };
 
@@ -81,6 +104,7 @@
   RegistrySim(int data_centres, int instances_each, size_t page_size);
 
   SimStore& store() { return store_; }
+  TimePoint now() const { return now_; }
   SimFeedInstance& instance(int index) {
     return *instances_.at(static_cast<size_t>(index));
   }
@@ -109,6 +133,15 @@
   void ApplyActions(SimFeedInstance& instance, FeedActions actions);
   void StartRead(SimFeedInstance& instance, const ReadStart& read);
   void AdvanceRead(SimFeedInstance& instance);
+  /** Handles the answer to a read once it has arrived. */
+  void FinishRead(SimFeedInstance& instance);
+  /** Adds a message to the queues of both links. */
+  void Enqueue(SimFeedInstance& sender, OutgoingMessage outgoing);
+  void HandleUpdate(SimFeedInstance& receiver,
+                    const InstanceId& from,
+                    const FeedUpdate& update);
+  /** Puts decoded changes into force, and decodes those that wait. */
+  void Decode(SimFeedInstance& instance);
   StoreAnswer AnswerPage(const ReadStart& read);
   void SendHeartbeat(SimFeedInstance& instance);
   void Deliver();
@@ -118,6 +151,7 @@
   struct Message {
     InstanceId from;
     OutgoingMessage outgoing;
+    TimePoint arrives_at{};
   };
   std::deque<Message> messages_;
   std::vector<uint64_t> stale_lags_{0};
