Send long messages between instances in parts

Cause: an instance counted as heard from only when a whole message had arrived, and nothing could overtake a long one. On a slow link that took longer than the 1.5 s after which a member is gone, and the 2 s after which a connection is closed; the transfer then began again on a new connection.

A message over 32 KiB now travels in parts. Each of them is a sign of life for the connection and for the member, and short messages overtake them. A link is handed at most 64 KiB ahead; the rest waits in a queue whose frames all receivers of a message share, where each had a copy before. Feed updates keep their order among themselves. The hello says that an instance takes parts, so peers of earlier versions get whole messages.

--- a/src/connection/io/peer_handshake.cc
+++ b/src/connection/io/peer_handshake.cc
@@ -61,7 +61,7 @@
 PeerHandshake StartHandshake(PeerRole role, const Instance& self) {
   PeerHandshake handshake;
   handshake.role = role;
-  handshake.own = {self.id, self.data_centre, MakeNonce()};
+  handshake.own = {self.id, self.data_centre, MakeNonce(), true};
   return handshake;
 }
 
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -98,6 +98,7 @@
  private:
   PeerConnectionCallbacks PeerCallbacks();
   void HandlePeerMessage(const InstanceId& from, const PeerMessage& message);
+  void HandlePeerProgress(const InstanceId& from);
   void HandleHeartbeat(const InstanceId& from, const FleetHeartbeat& heartbeat);
   void HandleMembershipUpdate(const InstanceId& from,
                               const MemberUpdate& member_update);
@@ -307,6 +308,7 @@
   return {[this](const InstanceId& from, const PeerMessage& message) {
             HandlePeerMessage(from, message);
           },
+          [this](const InstanceId& from) { HandlePeerProgress(from); },
           [this](const InstanceId& peer) { HandlePeerConnected(peer); },
           [this](const InstanceId& peer) { HandlePeerLost(peer); }};
 }
@@ -329,6 +331,11 @@
     store_feed_.HandleUpdate(from, *update, now);
 }
 
+void FleetProcess::HandlePeerProgress(const InstanceId& from) {
+  const TimePoint now = clock_.Now();
+  RecordMessageFrom(fleet_, from, now);
+}
+
 void FleetProcess::HandleMembershipUpdate(const InstanceId& from,
                                           const MemberUpdate& member_update) {
   const std::vector<Member> changed =
--- a/src/process/io/instance_process.cc
+++ b/src/process/io/instance_process.cc
@@ -173,6 +173,7 @@
   return {[this](const InstanceId& from, const PeerMessage& message) {
             HandlePeerMessage(from, message);
           },
+          [](const InstanceId&) {},
           [this](const InstanceId& peer) { HandlePeerConnected(peer); },
           [this](const InstanceId& peer) { HandlePeerLost(peer); }};
 }
--- a/src/process/peers/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -75,13 +75,18 @@
   return {{"t", "hello"},
           {"instance", hello.instance.value()},
           {"data_centre", hello.data_centre.value()},
-          {"nonce", ToBytes(hello.nonce)}};
+          {"nonce", ToBytes(hello.nonce)},
+          {"parts", hello.accepts_parts}};
 }
 
 Hello DecodeHello(const Json& json) {
-  return {InstanceId(NameAt(json, "instance")),
-          DataCentreId(NameAt(json, "data_centre")),
-          BytesAt(json, "nonce", kNonceBytes)};
+  Hello hello;
+  hello.instance = InstanceId(NameAt(json, "instance"));
+  hello.data_centre = DataCentreId(NameAt(json, "data_centre"));
+  hello.nonce = BytesAt(json, "nonce", kNonceBytes);
+  // Absent in messages of earlier versions.
+  hello.accepts_parts = json.contains("parts") && FlagAt(json, "parts");
+  return hello;
 }
 
 Json Encode(const Proof& proof) {
@@ -517,6 +522,18 @@
   return update;
 }
 
+Json Encode(const MessagePart& part) {
+  return {{"t", "part"}, {"bytes", ToBytes(part.bytes)}, {"last", part.last}};
+}
+
+MessagePart DecodeMessagePart(const Json& json) {
+  const Json& bytes = FieldAt(json, "bytes");
+  if (!bytes.is_binary())
+    throw PeerMessageError("the bytes of a part are missing");
+  const auto& binary = bytes.get_binary();
+  return {std::string(binary.begin(), binary.end()), FlagAt(json, "last")};
+}
+
 PeerMessage DecodeTyped(const Json& json, const std::string& type) {
   if (type == "hello")
     return DecodeHello(json);
@@ -550,6 +567,8 @@
     return DecodeFeedRequest(json);
   if (type == "feed_update")
     return DecodeFeedUpdate(json);
+  if (type == "part")
+    return DecodeMessagePart(json);
   throw PeerMessageError("unknown message type");
 }
 
--- a/src/process/peers/io/peer_connection_manager.cc
+++ b/src/process/peers/io/peer_connection_manager.cc
@@ -21,6 +21,29 @@
 // spread the attempts.
 constexpr std::chrono::milliseconds kMaintenanceInterval(50);
 
+// A longer message is sent in parts, so that others can overtake it and its
+// receiver knows that the peer runs. On 10 Mbit/s a part takes 26 ms.
+constexpr size_t kMaxPartBytes = 32 * 1024;
+
+std::vector<SharedFrame> SplitFrame(const std::string& frame) {
+  if (frame.size() <= kMaxPartBytes)
+    return {std::make_shared<const std::string>(frame)};
+  std::vector<SharedFrame> parts;
+  for (size_t begin = 0; begin < frame.size(); begin += kMaxPartBytes) {
+    const MessagePart part{frame.substr(begin, kMaxPartBytes),
+                           begin + kMaxPartBytes >= frame.size()};
+    parts.push_back(
+        std::make_shared<const std::string>(EncodePeerMessage(part)));
+  }
+  return parts;
+}
+
+// Updates do not overtake each other, since a later one needs the ones before.
+bool CanBeOvertaken(const PeerMessage& message, const std::string& frame) {
+  return frame.size() > kMaxPartBytes ||
+         std::holds_alternative<FeedUpdate>(message);
+}
+
 PeerSocketLimits ToSocketLimits(const PeerConnectionLimits& limits) {
   return {limits.max_queued_bytes, limits.max_unauthenticated,
           limits.handshake_timeout};
@@ -76,20 +99,28 @@
   }
 
   void Send(const InstanceId& to, const PeerMessage& message) {
-    const std::optional<LinkId> link = FindLinkTo(registry_, to);
-    if (!link)
-      return Increment(counters_.peer_messages_dropped);
-    SendOnLink(*link, message);
+    if (FindLinkTo(registry_, to))
+      SendAll({to}, message);
+    else
+      Increment(counters_.peer_messages_dropped);
   }
 
   void SendAll(const std::vector<InstanceId>& to, const PeerMessage& message) {
     const std::optional<std::string> frame = TryEncode(message);
+    if (!frame)
+      return Increment(counters_.peer_messages_dropped, to.size());
+    std::vector<SharedFrame> parts;
+    if (CanBeOvertaken(message, *frame))
+      parts = SplitFrame(*frame);
     for (const InstanceId& peer : to) {
       const std::optional<LinkId> link = FindLinkTo(registry_, peer);
-      if (link && frame)
-        SendFrame(*link, *frame);
-      else
+      if (!link)
         Increment(counters_.peer_messages_dropped);
+      else if (parts.size() == 1 ||
+               (parts.size() > 1 && AcceptsParts(registry_, *link)))
+        SendInTurn(*link, parts);
+      else
+        SendFrame(*link, *frame);
     }
   }
 
@@ -164,6 +195,14 @@
     Increment(counters_.peer_bytes_sent, size);
   }
 
+  void SendInTurn(LinkId link, const std::vector<SharedFrame>& frames) {
+    if (!sockets_.SendInTurn(link, frames))
+      return Increment(counters_.peer_messages_dropped);
+    Increment(counters_.peer_messages_sent);
+    for (const SharedFrame& frame : frames)
+      Increment(counters_.peer_bytes_sent, frame->size());
+  }
+
   void HandleFrame(LinkId link, std::string_view frame) {
     const std::shared_ptr<PeerLink> state = FindLink(registry_, link);
     if (!state)
@@ -204,7 +243,30 @@
       OrderedLock lock(registry_.mutex);
       state.last_received = clock_.Now();
     }
-    callbacks_.received(state.handshake.peer->instance, message);
+    const InstanceId& peer = state.handshake.peer->instance;
+    const auto* part = std::get_if<MessagePart>(&message);
+    if (!part)
+      return callbacks_.received(peer, message);
+    if (const auto whole = AddPart(state, *part))
+      callbacks_.received(peer, *whole);
+    else
+      callbacks_.progressed(peer);
+  }
+
+  /** Returns the message of which this was the last part. */
+  static std::optional<PeerMessage> AddPart(PeerLink& state,
+                                            const MessagePart& part) {
+    if (state.parts.size() + part.bytes.size() > kMaxPeerMessageBytes)
+      throw PeerMessageError("the parts of a message are too long");
+    state.parts += part.bytes;
+    if (!part.last)
+      return std::nullopt;
+    PeerMessage message = DecodePeerMessage(std::exchange(state.parts, {}));
+    if (std::holds_alternative<Hello>(message) ||
+        std::holds_alternative<Proof>(message) ||
+        std::holds_alternative<MessagePart>(message))
+      throw PeerMessageError("a message of this type cannot have parts");
+    return message;
   }
 
   void Authenticate(LinkId link, PeerLink& state, const PeerMessage& message) {
--- a/src/process/peers/io/peer_connection_manager.h
+++ b/src/process/peers/io/peer_connection_manager.h
@@ -46,6 +46,9 @@
   /** A message from an authenticated peer, in order for each connection. */
   std::function<void(const InstanceId& from, const PeerMessage& message)>
       received;
+  /** A part of a long message has arrived, which `received` has not got yet. */
+  std::function<void(const InstanceId& from)> progressed =
+      [](const InstanceId&) {};
   std::function<void(const InstanceId& peer)> connected;
   std::function<void(const InstanceId& peer)> lost;
 };
--- a/src/process/peers/io/peer_registry.cc
+++ b/src/process/peers/io/peer_registry.cc
@@ -45,6 +45,12 @@
   return found->second;
 }
 
+bool AcceptsParts(const PeerRegistry& registry, LinkId link) {
+  OrderedLock lock(registry.mutex);
+  const auto found = registry.links.find(link);
+  return found != registry.links.end() && found->second->accepts_parts;
+}
+
 bool AddLink(PeerRegistry& registry,
              LinkId link,
              std::shared_ptr<PeerLink> state) {
@@ -61,6 +67,7 @@
     return {};
   PeerLink& state = *found->second;
   state.peer = state.handshake.peer->instance;
+  state.accepts_parts = state.handshake.peer->accepts_parts;
   Registration registration;
   const auto existing = registry.connected.find(*state.peer);
   if (existing != registry.connected.end()) {
--- a/src/process/peers/io/peer_registry.h
+++ b/src/process/peers/io/peer_registry.h
@@ -25,11 +25,15 @@
    */
   PeerHandshake handshake;
   MessageBucket bucket;
+  /** The parts of a message that have arrived, also used on the strand. */
+  std::string parts;
   /** The fields below are guarded by the registry's mutex. */
   TimePoint opened_at{};
   TimePoint last_received{};
   /** Set once the peer is authenticated. */
   std::optional<InstanceId> peer;
+  /** The peer can receive messages in parts. */
+  bool accepts_parts = false;
 };
 
 /** A peer to keep a connection to. */
@@ -61,6 +65,9 @@
 std::optional<LinkId> FindLinkTo(const PeerRegistry& registry,
                                  const InstanceId& peer);
 
+/** True if the peer of a connection can receive messages in parts. */
+bool AcceptsParts(const PeerRegistry& registry, LinkId link);
+
 /**
  * Adds a connection that was accepted or is about to be opened. Does nothing
  * and returns false once stopped.
--- a/src/process/peers/io/peer_sockets.cc
+++ b/src/process/peers/io/peer_sockets.cc
@@ -37,11 +37,21 @@
 // without a delay would keep a thread busy.
 constexpr std::chrono::milliseconds kAcceptRetryDelay(100);
 
+// Frames that can be overtaken are handed to websocketpp only while it has less
+// than this to send, and the next ones after the interval.
+constexpr size_t kMaxBytesAhead = 64 * 1024;
+constexpr long kNextFrameIntervalMs = 20;
+
 struct Socket {
   PeerRole role = PeerRole::kDialler;
   ConnectionPtr connection;
   std::deque<std::string> queue;
   size_t queued_bytes = 0;
+  /** Frames of SendInTurn. */
+  std::deque<SharedFrame> in_turn;
+  size_t in_turn_bytes = 0;
+  /** A timer will send more of `in_turn`. */
+  bool waits_for_turn = false;
   bool authenticated = false;
   bool closing = false;
 };
@@ -130,6 +140,27 @@
     return true;
   }
 
+  bool SendInTurn(LinkId link, const std::vector<SharedFrame>& frames) {
+    size_t bytes = 0;
+    for (const SharedFrame& frame : frames)
+      bytes += frame->size();
+    ConnectionPtr connection;
+    {
+      OrderedLock lock(mutex_);
+      const auto found = sockets_.find(link);
+      if (found == sockets_.end() || found->second.closing)
+        return false;
+      Socket& socket = found->second;
+      if (socket.in_turn_bytes + bytes > limits_.max_queued_bytes)
+        return false;
+      socket.in_turn_bytes += bytes;
+      socket.in_turn.insert(socket.in_turn.end(), frames.begin(), frames.end());
+      connection = socket.connection;
+    }
+    connection->interrupt();
+    return true;
+  }
+
   void Close(LinkId link) {
     ConnectionPtr connection;
     {
@@ -264,14 +295,69 @@
       found->second.queued_bytes = 0;
       closing = found->second.closing;
     }
-    for (const std::string& frame : frames) {
-      const size_t buffered = connection->get_buffered_amount();
-      if (buffered + frame.size() > limits_.max_queued_bytes ||
-          connection->send(frame, websocketpp::frame::opcode::binary))
-        events_.dropped(link);
-    }
+    for (const std::string& frame : frames)
+      Write(link, *connection, frame);
     if (closing)
       CloseNow(*connection);
+    else
+      WriteInTurn(link, connection);
+  }
+
+  void Write(LinkId link, Connection& connection, const std::string& frame) {
+    const size_t buffered = connection.get_buffered_amount();
+    if (buffered + frame.size() > limits_.max_queued_bytes ||
+        connection.send(frame, websocketpp::frame::opcode::binary))
+      events_.dropped(link);
+  }
+
+  // Runs on the connection's strand, too.
+  void WriteInTurn(LinkId link, const ConnectionPtr& connection) {
+    while (connection->get_buffered_amount() < kMaxBytesAhead) {
+      const SharedFrame frame = TakeInTurn(link);
+      if (!frame)
+        return;
+      Write(link, *connection, *frame);
+    }
+    if (!StartsWaiting(link))
+      return;
+    connection->set_timer(kNextFrameIntervalMs,
+                          [this, link, connection](const auto& error) {
+                            if (!EndsWaiting(link) || error)
+                              return;
+                            WriteInTurn(link, connection);
+                          });
+  }
+
+  /** Null if there is none. */
+  SharedFrame TakeInTurn(LinkId link) {
+    OrderedLock lock(mutex_);
+    const auto found = sockets_.find(link);
+    if (found == sockets_.end() || found->second.in_turn.empty())
+      return nullptr;
+    Socket& socket = found->second;
+    SharedFrame frame = std::move(socket.in_turn.front());
+    socket.in_turn.pop_front();
+    socket.in_turn_bytes -= frame->size();
+    return frame;
+  }
+
+  /** True if frames are left for which no timer runs. */
+  bool StartsWaiting(LinkId link) {
+    OrderedLock lock(mutex_);
+    const auto found = sockets_.find(link);
+    if (found == sockets_.end() || found->second.in_turn.empty())
+      return false;
+    return !std::exchange(found->second.waits_for_turn, true);
+  }
+
+  /** False if the connection has been closed. */
+  bool EndsWaiting(LinkId link) {
+    OrderedLock lock(mutex_);
+    const auto found = sockets_.find(link);
+    if (found == sockets_.end())
+      return false;
+    found->second.waits_for_turn = false;
+    return true;
   }
 
   static void CloseNow(Connection& connection) {
@@ -326,6 +412,11 @@
   return impl_->Send(link, std::move(frame));
 }
 
+bool PeerSockets::SendInTurn(LinkId link,
+                             const std::vector<SharedFrame>& frames) {
+  return impl_->SendInTurn(link, frames);
+}
+
 void PeerSockets::Close(LinkId link) {
   impl_->Close(link);
 }
--- a/src/process/peers/io/peer_sockets.h
+++ b/src/process/peers/io/peer_sockets.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "connection/io/peer_handshake.h"
 #include "version/endpoint.h"
@@ -29,10 +30,13 @@
   std::function<void(LinkId)> dropped;
 };
 
+/** A frame that can be in the queues of several connections. */
+using SharedFrame = std::shared_ptr<const std::string>;
+
 struct PeerSocketLimits {
   /**
-   * Limit on each of a connection's two send queues: the one of PeerSockets and
-   * the one of websocketpp.
+   * Limit on each of a connection's send queues: the two of PeerSockets and the
+   * one of websocketpp.
    */
   size_t max_queued_bytes = 0;
   /** Limit on accepted connections whose peer is not authenticated. */
@@ -66,7 +70,13 @@
   /** Queues a frame; false if the connection is closing or the queue full. */
   bool Send(LinkId link, std::string frame);
 
-  /** Sends the queued frames, then closes the connection. */
+  /**
+   * Queues frames that are sent one after the other, and let all those of Send
+   * overtake them; false if the connection is closing or the queue full.
+   */
+  bool SendInTurn(LinkId link, const std::vector<SharedFrame>& frames);
+
+  /** Sends the frames queued by Send, then closes the connection. */
   void Close(LinkId link);
 
   /** Allows frames of full length, as the peer is now authenticated. */
--- a/src/process/peers/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -25,6 +25,8 @@
   InstanceId instance;
   DataCentreId data_centre;
   std::string nonce;
+  /** True if the sender can receive messages in parts. */
+  bool accepts_parts = false;
 };
 
 /**
@@ -35,6 +37,15 @@
   std::string mac;
 };
 
+/**
+ * Part of an encoded message that is too long to be sent at once. The parts of
+ * a message follow each other, with whole messages in between.
+ */
+struct MessagePart {
+  std::string bytes;
+  bool last = false;
+};
+
 /** Unused tokens of a client account that the sender can lend. */
 struct AccountSpareTokens {
   ClientAccountId client_account;
@@ -212,7 +223,8 @@
                                  TokenRequest,
                                  TokenReply,
                                  FeedRequest,
-                                 FeedUpdate>;
+                                 FeedUpdate,
+                                 MessagePart>;
 
 /** A message and the instance to send it to. */
 struct OutgoingMessage {
--- a/src/process/peers/peer_transport.h
+++ b/src/process/peers/peer_transport.h
@@ -6,8 +6,9 @@
 namespace mangodoor {
 
 /**
- * Sends messages to other instances. Messages can be lost, but those sent over
- * one connection arrive in order.
+ * Sends messages to other instances. Messages can be lost. Those sent over one
+ * connection arrive in order, except that others overtake long messages and
+ * feed updates, which arrive in order among themselves.
  */
 class PeerTransport {
  public:
--- a/tests/peers/hostile_peer_test.cc
+++ b/tests/peers/hostile_peer_test.cc
@@ -150,6 +150,45 @@
   ExpectGoodPeerStays();
 }
 
+// Guards against unlimited memory use by parts of a message without end.
+TEST_F(HostilePeerTest, EndlessPartsCloseTheConnection) {
+  constexpr size_t kPartBytes = 64 * 1024;
+  RawPeer peer(instance_.self());
+  ASSERT_TRUE(peer.Authenticate(TestInstance("bad", 9)));
+  for (size_t sent = 0; sent <= kMaxPeerMessageBytes; sent += kPartBytes)
+    peer.Send(PeerMessage(MessagePart{std::string(kPartBytes, 'x'), false}));
+  EXPECT_TRUE(peer.WaitUntilClosed());
+  expected_lost_ = 1;
+  ExpectGoodPeerStays();
+}
+
+// Guards against parts within a part, which would be decoded without a limit.
+TEST_F(HostilePeerTest, PartWithinAPartClosesTheConnection) {
+  RawPeer peer(instance_.self());
+  ASSERT_TRUE(peer.Authenticate(TestInstance("bad", 9)));
+  const MessagePart inner{EncodePeerMessage(DocumentRequest{1}), true};
+  peer.Send(PeerMessage(MessagePart{EncodePeerMessage(inner), true}));
+  EXPECT_TRUE(peer.WaitUntilClosed());
+  EXPECT_TRUE(instance_.received().empty());
+  expected_lost_ = 1;
+  ExpectGoodPeerStays();
+}
+
+// Guards against a message in parts that is lost, altered or overtakes itself.
+TEST_F(HostilePeerTest, MessageInPartsIsReceivedOnce) {
+  RawPeer peer(instance_.self());
+  ASSERT_TRUE(peer.Authenticate(TestInstance("parts", 9)));
+  const std::string frame = EncodePeerMessage(
+      DocumentText{7, std::string(64, 'a'), "the text of a document"});
+  peer.Send(PeerMessage(MessagePart{frame.substr(0, 50), false}));
+  peer.Send(PeerMessage(DocumentRequest{3}));
+  peer.Send(PeerMessage(MessagePart{frame.substr(50), true}));
+  ASSERT_TRUE(Eventually([&] { return instance_.received().size() == 2; }));
+  EXPECT_EQ(std::get<DocumentRequest>(instance_.received()[0]).version, 3U);
+  EXPECT_EQ(std::get<DocumentText>(instance_.received()[1]).text,
+            "the text of a document");
+}
+
 // Guards against idle unauthenticated connections that use up the limit on
 // them.
 TEST_F(HostilePeerTest, ConnectionWithoutHandshakeIsClosed) {
