Let only large hubs push changes to their data centre

Cause: the three hubs of a data centre share the pushes evenly, whatever their machines are. Where only two machines are large, the third hub has a tenth of a core and 10 Mbit/s, and sends 8 times what its own link takes 0.6 s for.

Now a hub pushes only if it has at least half of the leader's processor time. Hubs are ranked by it, so all instances agree on who pushes from the ranks alone. In a data centre of equal machines all three push, as before.

FleetViewTest.SmallHubsDoNotPush does not build without the change.

--- a/src/process/fleet/fleet_table.cc
+++ b/src/process/fleet/fleet_table.cc
@@ -57,6 +57,20 @@
   }
 }
 
+// A hub with less of the leader's processor time than one part in this many
+// sends nothing to the other instances: it would take longer than the others,
+// and its link is probably slower, too.
+constexpr int kLeaderToHubRatio = 2;
+
+/** Number of hubs that are large enough to send to the other instances. */
+size_t CountPushingHubs(const std::vector<const Member*>& ranked) {
+  size_t count = 1;
+  while (count < std::min(kHubsPerDataCentre, ranked.size()) &&
+         ranked[count]->millicores * kLeaderToHubRatio >= ranked[0]->millicores)
+    ++count;
+  return count;
+}
+
 FleetView MakeView(const FleetTable& table) {
   FleetView view;
   view.self = table.member_list.self;
@@ -64,6 +78,7 @@
     view.live.push_back(*member);
   const auto ranked =
       RankedMembers(table.member_list, table.member_list.self.data_centre);
+  view.pushing_hubs = CountPushingHubs(ranked);
   for (size_t i = 0; i < ranked.size(); ++i) {
     if (ranked[i]->id == table.member_list.self.id)
       view.rank = i;
--- a/src/process/fleet/fleet_table.h
+++ b/src/process/fleet/fleet_table.h
@@ -38,6 +38,8 @@
   std::vector<InstanceId> remote_peers;
   /** Rank of this instance in its data centre; 0 is the leader. */
   size_t rank = 0;
+  /** Hubs of lower ranks than this have to send to the other instances. */
+  size_t pushing_hubs = kHubsPerDataCentre;
 };
 
 using FleetViewPtr = std::shared_ptr<const FleetView>;
--- a/src/process/io/store_feed.cc
+++ b/src/process/io/store_feed.cc
@@ -62,7 +62,7 @@
 
 FeedTopology StoreFeed::CurrentTopology() const {
   const FleetViewPtr view = ViewFleet(context_.fleet);
-  return {view->rank, view->local_peers};
+  return {view->rank, view->local_peers, view->pushing_hubs};
 }
 
 void StoreFeed::Run(FeedActions actions) {
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -4,8 +4,6 @@
 #include <map>
 #include <utility>
 
-#include "process/fleet/member_list.h"
-
 namespace mangodoor {
 namespace {
 
@@ -77,7 +75,7 @@
 
 /** True if the instance of this rank is not a hub, but in this hub's share. */
 bool IsInOwnShare(const FeedTopology& topology, size_t rank) {
-  return !IsHub(rank) && rank % kHubsPerDataCentre == topology.rank;
+  return !IsHub(rank) && rank % topology.pushing_hubs == topology.rank;
 }
 
 /**
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "process/fleet/member_list.h"
 #include "process/ordered_mutex.h"
 #include "process/peers/peer_message.h"
 #include "process/registry/feed_reader.h"
@@ -85,6 +86,8 @@
   size_t rank = 0;
   /** Linked instances of this data centre with their ranks. */
   std::map<InstanceId, size_t> local_peers;
+  /** Hubs of lower ranks than this share the pushes; at least 1. */
+  size_t pushing_hubs = kHubsPerDataCentre;
 };
 
 /** Starts a read of the store if one is due. */
--- a/tests/members/fleet_view_test.cc
+++ b/tests/members/fleet_view_test.cc
@@ -63,5 +63,27 @@
   EXPECT_EQ(ViewFleet(table_)->self.state, MemberState::kLeaving);
 }
 
+// Guards against a small hub that has to send changes to a third of its data
+// centre, which takes it many times as long as the large ones.
+TEST_F(FleetViewTest, SmallHubsDoNotPush) {
+  const int own_millicores = table_.member_list.self.millicores;
+  Member large = local_;
+  large.millicores = 2 * own_millicores;
+  ApplyUpdate(large);
+  Member small = MakeMember("10.0.0.3", "east");
+  small.millicores = own_millicores - 1;
+  ApplyUpdate(small);
+  EXPECT_EQ(ViewFleet(table_)->pushing_hubs, 2U);
+  small.millicores = own_millicores;
+  ++small.incarnation;
+  ApplyUpdate(small);
+  EXPECT_EQ(ViewFleet(table_)->pushing_hubs, 3U);
+}
+
+// Guards against a lone instance that divides its pushes by none.
+TEST_F(FleetViewTest, LeaderPushesAlone) {
+  EXPECT_EQ(ViewFleet(table_)->pushing_hubs, 1U);
+}
+
 }  // namespace
 }  // namespace mangodoor
