Do not send an update that is already on its way

Cause: a request for changes was repeated after 500 ms, and sent to other peers, while the answer was still arriving over a slow link; a heartbeat that overtook a push caused a request for what was being pushed; and each instance pushed the first copy that it had read to its hubs, 25 of them to the third one, which needs 0.6 s for each.

Now parts of a long message put off requests like an open request does, a request to a peer of the own data centre waits for 200 ms, in which a push arrives, and the first copy is not pushed: an instance without one reads the store itself, and requests one from peers with their first heartbeat.

SlowLinksTest.LargeUpdateIsSentOnceAndInForceInTime failed before: with three pushing hubs and requests as they were, the third hub received seven copies of a document that changed as a whole, and a third of the others two.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -334,6 +334,7 @@
 void FleetProcess::HandlePeerProgress(const InstanceId& from) {
   const TimePoint now = clock_.Now();
   RecordMessageFrom(fleet_, from, now);
+  RecordFeedProgress(feed_, now);
 }
 
 void FleetProcess::HandleMembershipUpdate(const InstanceId& from,
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -18,6 +18,9 @@
 // and request the changes.
 constexpr size_t kSharedPushThreshold = 8;
 
+// Changes are pushed, so one that a heartbeat shows is probably on its way.
+constexpr Duration kLocalRequestDelay = std::chrono::milliseconds(200);
+
 // Traffic between data centres is expensive, so the readers of this data centre
 // get this time to obtain changes before another one is asked for them.
 constexpr Duration kRemoteRequestDelay = std::chrono::milliseconds(500);
@@ -63,6 +66,20 @@
          });
 }
 
+/** How long a change that `from` reported is not requested from it. */
+Duration RequestDelay(const Feed& feed,
+                      const FeedTopology& topology,
+                      const InstanceId& from,
+                      TimePoint now) {
+  // Nothing is pushed to an instance that has no copy yet.
+  if (feed.replica.revision == 0)
+    return Duration::zero();
+  if (topology.local_peers.count(from) > 0)
+    return kLocalRequestDelay;
+  return LocalInstanceReads(feed, topology, now) ? kRemoteRequestDelay
+                                                 : Duration::zero();
+}
+
 bool IsHub(size_t rank) {
   return rank < kHubsPerDataCentre;
 }
@@ -112,7 +129,9 @@
                  uint64_t revision_before,
                  bool (*is_target)(const FeedTopology&, size_t rank),
                  FeedActions& actions) {
-  if (feed.replica.revision == revision_before)
+  // Instances without a copy read the store, and request one from peers. The
+  // others do not need the first copy of this one.
+  if (revision_before == 0 || feed.replica.revision == revision_before)
     return;
   // Most peers have the same revision and get the same message.
   std::map<std::pair<uint64_t, FeedEncoding>, std::vector<InstanceId>> groups;
@@ -123,7 +142,7 @@
     const bool is_known = known != feed.peers.end();
     const uint64_t peer_revision =
         is_known ? known->second.revision : revision_before;
-    if (peer_revision >= feed.replica.revision)
+    if (peer_revision == 0 || peer_revision >= feed.replica.revision)
       continue;
     const FeedEncoding encoding = is_known && known->second.accepts_patches
                                       ? FeedEncoding::kPatched
@@ -143,6 +162,14 @@
   return now - *feed.behind_since;
 }
 
+/** True if an update was requested or is arriving, and is not lost. */
+bool AwaitsUpdate(const Feed& feed, TimePoint now) {
+  const auto is_recent = [now](const std::optional<TimePoint>& at) {
+    return at && now - *at < kRequestTimeout;
+  };
+  return is_recent(feed.requested_at) || is_recent(feed.progressed_at);
+}
+
 /** Sets `behind_since` if a peer is ahead of this copy, or clears it. */
 void UpdateBehindSince(Feed& feed, TimePoint now) {
   if (feed.highest_peer_revision <= feed.replica.revision)
@@ -227,11 +254,8 @@
       std::max(feed.highest_peer_revision, heartbeat.store_revision);
   UpdateBehindSince(feed, now);
   actions.behind_for = BehindFor(feed, now);
-  const bool is_local = topology.local_peers.count(from) > 0;
-  if (!is_local && LocalInstanceReads(feed, topology, now) &&
-      now - *feed.behind_since < kRemoteRequestDelay)
-    return actions;
-  if (feed.requested_at && now - *feed.requested_at < kRequestTimeout)
+  if (now - *feed.behind_since < RequestDelay(feed, topology, from, now) ||
+      AwaitsUpdate(feed, now))
     return actions;
   feed.requested_at = now;
   actions.messages.push_back(
@@ -239,6 +263,11 @@
   return actions;
 }
 
+void RecordFeedProgress(Feed& feed, TimePoint now) {
+  OrderedLock lock(feed.mutex);
+  feed.progressed_at = now;
+}
+
 FeedActions HandleFeedRequest(const Feed& feed,
                               const InstanceId& from,
                               const FeedRequest& request) {
@@ -263,13 +292,15 @@
   const StoreChanges& changes = update.changes;
   if (CanApply(feed.replica, changes)) {
     feed.requested_at.reset();
+    feed.progressed_at.reset();
     actions.changed_items = ApplyChanges(feed.replica, changes);
     UpdateBehindSince(feed, now);
     // Changes from another data centre are new to all local peers.
     const bool is_remote = topology.local_peers.count(from) == 0;
     PushUpdates(feed, topology, before,
                 is_remote ? IsPushTarget : IsForwardTarget, actions);
-  } else if (changes.up_to > feed.replica.revision) {
+  } else if (changes.up_to > feed.replica.revision &&
+             (changes.compared || !AwaitsUpdate(feed, now))) {
     feed.requested_at = now;
     // If changes found by comparison do not fit, no other ones would.
     const uint64_t after = changes.compared ? 0 : feed.replica.revision;
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -47,6 +47,9 @@
   std::map<InstanceId, PeerFeed> peers;
   /** When the latest request to a peer was sent, if it is unanswered. */
   std::optional<TimePoint> requested_at;
+  /** When a part of a long message from a peer arrived, if it has no end yet.
+   */
+  std::optional<TimePoint> progressed_at;
   /** The latest one; unset if the copy was never known to be current. */
   std::optional<StoreConfirmation> confirmation;
   /** The highest revision that a peer has reported. */
@@ -106,6 +109,12 @@
                                 const FleetHeartbeat& heartbeat,
                                 TimePoint now);
 
+/**
+ * Records that a part of a long message has arrived. It is probably an update,
+ * so that none is requested as long as parts arrive.
+ */
+void RecordFeedProgress(Feed& feed, TimePoint now);
+
 /** Answers a peer's request for changes. */
 FeedActions HandleFeedRequest(const Feed& feed,
                               const InstanceId& from,
--- a/tests/registry/slow_links_test.cc
+++ b/tests/registry/slow_links_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "registry/store_sim.h"
@@ -29,24 +30,23 @@
 constexpr size_t kPageSize = 1000;
 constexpr size_t kDocumentBytes = 700 * 1024;
 constexpr Duration kStep = milliseconds(100);
-const std::string kVersionPrefix = "version ";
+constexpr std::string_view kVersionPrefix = "version ";
 constexpr char kDocumentKey[] = "op/config";
 
-/** A document of random lines, with one line that differs by version. */
-std::string MakeDocument(int version) {
-  std::minstd_rand random(1);
-  std::string text;
-  while (text.size() < kDocumentBytes) {
-    for (int i = 0; i < 8; ++i)
-      text += std::to_string(random());
-    text += '\n';
-  }
-  const std::string line = kVersionPrefix + std::to_string(version) + "\n";
+/** A document of random bytes by `seed`, with a line that has the version. */
+std::string MakeDocument(int version, unsigned seed = 1) {
+  std::mt19937 random(seed);
+  std::string text(kDocumentBytes, '\0');
+  for (char& c : text)
+    c = static_cast<char>(random());
+  const std::string line =
+      std::string(kVersionPrefix) + std::to_string(version) + "\n";
   return text.insert(text.size() / 2, line);
 }
 
 RegistrySim MakeDataCentre() {
   RegistrySim sim(1, kInstances, kPageSize);
+  sim.pushing_hubs = kLargeMachines;
   for (int i = 0; i < kInstances; ++i)
     sim.instance(i).machine =
         i < kLargeMachines ? kLargeMachine : kSmallMachine;
@@ -94,5 +94,26 @@
   }
 }
 
+// Guards against an update that is sent again while it is on its way, and
+// against hubs with a slow link that have to send it to many instances.
+TEST(SlowLinksTest, LargeUpdateIsSentOnceAndInForceInTime) {
+  RegistrySim sim = MakeDataCentre();
+  std::vector<size_t> bytes_before;
+  bytes_before.reserve(static_cast<size_t>(sim.size()));
+  for (int i = 0; i < sim.size(); ++i)
+    bytes_before.push_back(sim.instance(i).update_bytes);
+  constexpr unsigned kOtherSeed = 2;
+  const std::string document = MakeDocument(1, kOtherSeed);
+  sim.store().Put(kDocumentKey, document);
+  sim.RunFor(kApplyBound);
+  EXPECT_EQ(LowestVersionInForce(sim), 1);
+  sim.RunFor(seconds(5));
+  for (int i = 0; i < sim.size(); ++i) {
+    const size_t received =
+        sim.instance(i).update_bytes - bytes_before[static_cast<size_t>(i)];
+    EXPECT_LT(received, document.size() * 3 / 2) << "instance " << i;
+  }
+}
+
 }  // namespace
 }  // namespace mangodoor
--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -15,6 +15,9 @@
 constexpr Duration kReadTimeout = milliseconds(800);
 constexpr Duration kHeartbeatInterval = milliseconds(400);
 
+// Longer messages arrive in parts.
+constexpr size_t kPartBytes = 32 * 1024;
+
 // The store sends values in base64.
 constexpr double kStoreBytesPerByte = 4.0 / 3.0;
 
@@ -154,6 +157,7 @@
 FeedTopology RegistrySim::TopologyOf(const SimFeedInstance& instance) const {
   FeedTopology topology;
   topology.rank = instance.rank;
+  topology.pushing_hubs = pushing_hubs;
   for (const auto& other : instances_) {
     if (Linked(instance, *other) && other->data_centre == instance.data_centre)
       topology.local_peers[other->id] = other->rank;
@@ -297,6 +301,7 @@
   std::vector<Message> messages;
   for (auto it = messages_.begin(); it != messages_.end();) {
     if (it->arrives_at > now_) {
+      ReportProgress(*it);
       ++it;
       continue;
     }
@@ -323,6 +328,16 @@
   }
 }
 
+void RegistrySim::ReportProgress(const Message& message) {
+  for (auto& receiver : instances_) {
+    if (receiver->id != message.outgoing.to || !receiver->running)
+      continue;
+    const Duration transfer = TransferTime(message.bytes, receiver->machine);
+    if (message.bytes > kPartBytes && message.arrives_at - transfer < now_)
+      RecordFeedProgress(*receiver->feed, now_);
+  }
+}
+
 void RegistrySim::HandleUpdate(SimFeedInstance& receiver,
                                const InstanceId& from,
                                const FeedUpdate& update,
--- a/tests/registry/store_sim.h
+++ b/tests/registry/store_sim.h
@@ -120,6 +120,8 @@
     stale_lags_ = std::move(lags);
     stale_reads_ = 0;
   }
+  /** Hubs of lower ranks than this push changes. */
+  size_t pushing_hubs = kHubsPerDataCentre;
   /** Updates with more items than this are not delivered. */
   size_t max_update_items = SIZE_MAX;
   int store_requests() const;
@@ -128,6 +130,13 @@
   bool IsCurrent(int index) const;
 
  private:
+  struct Message {
+    InstanceId from;
+    OutgoingMessage outgoing;
+    TimePoint arrives_at{};
+    size_t bytes = 0;
+  };
+
   FeedTopology TopologyOf(const SimFeedInstance& instance) const;
   bool Linked(const SimFeedInstance& a, const SimFeedInstance& b) const;
   void ApplyActions(SimFeedInstance& instance, FeedActions actions);
@@ -141,6 +150,8 @@
                     const InstanceId& from,
                     const FeedUpdate& update,
                     size_t bytes);
+  /** Tells the receiver of a long message that parts of it have arrived. */
+  void ReportProgress(const Message& message);
   /** Puts decoded changes into force, and decodes those that wait. */
   void Decode(SimFeedInstance& instance);
   StoreAnswer AnswerPage(const ReadStart& read);
@@ -149,12 +160,6 @@
 
   SimStore store_;
   std::vector<std::unique_ptr<SimFeedInstance>> instances_;
-  struct Message {
-    InstanceId from;
-    OutgoingMessage outgoing;
-    TimePoint arrives_at{};
-    size_t bytes = 0;
-  };
   std::deque<Message> messages_;
   std::vector<uint64_t> stale_lags_{0};
   size_t stale_reads_ = 0;
