Find a connection, and request changes, in one place each

No behaviour changes. The check for an open connection stood in both ways to queue a frame, and the steps of a request to a peer in three handlers; the second read of the change found them.

--- a/src/process/peers/io/peer_sockets.cc
+++ b/src/process/peers/io/peer_sockets.cc
@@ -126,15 +126,13 @@
     ConnectionPtr connection;
     {
       OrderedLock lock(mutex_);
-      const auto found = sockets_.find(link);
-      if (found == sockets_.end() || found->second.closing)
-        return false;
-      Socket& socket = found->second;
-      if (socket.queued_bytes + frame.size() > limits_.max_queued_bytes)
+      Socket* const socket = FindOpen(link);
+      if (!socket ||
+          socket->queued_bytes + frame.size() > limits_.max_queued_bytes)
         return false;
-      socket.queued_bytes += frame.size();
-      socket.queue.push_back(std::move(frame));
-      connection = socket.connection;
+      socket->queued_bytes += frame.size();
+      socket->queue.push_back(std::move(frame));
+      connection = socket->connection;
     }
     connection->interrupt();
     return true;
@@ -147,15 +145,13 @@
     ConnectionPtr connection;
     {
       OrderedLock lock(mutex_);
-      const auto found = sockets_.find(link);
-      if (found == sockets_.end() || found->second.closing)
-        return false;
-      Socket& socket = found->second;
-      if (socket.in_turn_bytes + bytes > limits_.max_queued_bytes)
+      Socket* const socket = FindOpen(link);
+      if (!socket || socket->in_turn_bytes + bytes > limits_.max_queued_bytes)
         return false;
-      socket.in_turn_bytes += bytes;
-      socket.in_turn.insert(socket.in_turn.end(), frames.begin(), frames.end());
-      connection = socket.connection;
+      socket->in_turn_bytes += bytes;
+      socket->in_turn.insert(socket->in_turn.end(), frames.begin(),
+                             frames.end());
+      connection = socket->connection;
     }
     connection->interrupt();
     return true;
@@ -201,6 +197,13 @@
   }
 
  private:
+  /** Null if the connection is closed or closing. Called with the lock held. */
+  Socket* FindOpen(LinkId link) {
+    const auto found = sockets_.find(link);
+    return found == sockets_.end() || found->second.closing ? nullptr
+                                                            : &found->second;
+  }
+
   void Accept() {
     acceptor_.async_accept([this](const ErrorCode& error, tcp::socket socket) {
       if (error == asio::error::operation_aborted || !acceptor_.is_open())
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -170,6 +170,15 @@
   return is_recent(feed.requested_at) || is_recent(feed.progressed_at);
 }
 
+void Request(Feed& feed,
+             const InstanceId& from,
+             const FeedRequest& request,
+             TimePoint now,
+             FeedActions& actions) {
+  feed.requested_at = now;
+  actions.messages.push_back({from, request});
+}
+
 /** Sets `behind_since` if a peer is ahead of this copy, or clears it. */
 void UpdateBehindSince(Feed& feed, TimePoint now) {
   if (feed.highest_peer_revision <= feed.replica.revision)
@@ -257,9 +266,8 @@
   if (now - *feed.behind_since < RequestDelay(feed, topology, from, now) ||
       AwaitsUpdate(feed, now))
     return actions;
-  feed.requested_at = now;
-  actions.messages.push_back(
-      {from, FeedRequest{feed.replica.revision, FeedEncoding::kPatched}});
+  Request(feed, from, {feed.replica.revision, FeedEncoding::kPatched}, now,
+          actions);
   return actions;
 }
 
@@ -301,11 +309,9 @@
                 is_remote ? IsPushTarget : IsForwardTarget, actions);
   } else if (changes.up_to > feed.replica.revision &&
              (changes.compared || !AwaitsUpdate(feed, now))) {
-    feed.requested_at = now;
     // If changes found by comparison do not fit, no other ones would.
     const uint64_t after = changes.compared ? 0 : feed.replica.revision;
-    actions.messages.push_back(
-        {from, FeedRequest{after, FeedEncoding::kPatched}});
+    Request(feed, from, {after, FeedEncoding::kPatched}, now, actions);
   }
   return actions;
 }
@@ -317,11 +323,10 @@
   OrderedLock lock(feed.mutex);
   FeedActions actions;
   actions.behind_for = BehindFor(feed, now);
-  if (update.changes.up_to <= feed.replica.revision)
-    return actions;
-  feed.requested_at = now;
-  actions.messages.push_back(
-      {from, FeedRequest{feed.replica.revision, FeedEncoding::kPacked}});
+  if (update.changes.up_to > feed.replica.revision) {
+    Request(feed, from, {feed.replica.revision, FeedEncoding::kPacked}, now,
+            actions);
+  }
   return actions;
 }
 
