--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -16,6 +16,7 @@
 #include "process/accounts/io/token_exchange.h"
 #include "process/fleet/address_plan.h"
 #include "process/fleet/advertised_instances.h"
+#include "process/fleet/capacity_shares.h"
 #include "process/fleet/fleet_table.h"
 #include "process/io/action_runner.h"
 #include "process/io/early_signals.h"
@@ -106,7 +107,6 @@
   void HandlePeerLost(const InstanceId& peer);
   void TickMembers();
   void TickServerTable();
-  InstanceShares ComputeInstanceShares(const FleetView& view) const;
   double RequestRatePerDataCentre(const FleetView& view) const;
   void SendHeartbeats(const std::vector<InstanceId>& due,
                       const FleetView& view);
@@ -393,7 +393,9 @@
     SetLeader(tables_.usage.limiter, view->rank == 0, now);
   }
   tokens_.RefillPools(*view);
-  SetInstanceShares(tables_.servers, ComputeInstanceShares(*view));
+  SetInstanceShares(
+      tables_.servers,
+      ComputeInstanceShares(*view, RequestRatePerDataCentre(*view)));
   SetInstanceCount(retry_table_, instance_count);
   SendHeartbeats(actions.heartbeats, *view);
   UpdateLinks(std::move(actions.links));
@@ -401,27 +403,6 @@
   RecordConfirmation(tables_.versions, ConfirmedAt(feed_), now);
 }
 
-InstanceShares FleetProcess::ComputeInstanceShares(
-    const FleetView& view) const {
-  InstanceShares shares;
-  for (const Member& member : view.live) {
-    if (member.id == view.self.id)
-      shares.phase = shares.instances[member.data_centre];
-    ++shares.instances[member.data_centre];
-  }
-  shares.phase /= std::max(1, shares.instances[view.self.data_centre]);
-  const double requests_per_s = RequestRatePerDataCentre(view);
-  for (const auto& [data_centre, count] : shares.instances) {
-    const auto advertised_instances =
-        SelectAdvertisedInstances(view.live, data_centre, requests_per_s);
-    shares.advertised_instances[data_centre] =
-        static_cast<int>(advertised_instances.size());
-    for (const Member* advertised_instance : advertised_instances)
-      shares.is_advertised |= advertised_instance->id == view.self.id;
-  }
-  return shares;
-}
-
 double FleetProcess::RequestRatePerDataCentre(const FleetView& view) const {
   const TimePoint now = clock_.Now();
   return mangodoor::RequestRatePerDataCentre(view.live,
