--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -4,15 +4,25 @@
 
 namespace mangodoor {
 
-FleetSim::FleetSim(int data_centres, int instances_each, int seeds) {
-  for (int d = 0; d < data_centres; ++d) {
-    for (int i = 0; i < instances_each; ++i) {
+FleetSim::FleetSim(int data_centres, int instances_each, int seeds)
+    : FleetSim(
+          std::vector<SimDataCentre>(static_cast<size_t>(data_centres),
+                                     SimDataCentre{std::vector<int>(
+                                         static_cast<size_t>(instances_each),
+                                         Member().millicores)}),
+          seeds) {}
+
+FleetSim::FleetSim(const std::vector<SimDataCentre>& data_centres, int seeds) {
+  for (size_t d = 0; d < data_centres.size(); ++d) {
+    const std::vector<int>& millicores = data_centres[d].millicores;
+    for (size_t i = 0; i < millicores.size(); ++i) {
       Member member;
       member.peer_endpoint = {
           "10." + std::to_string(d) + ".0." + std::to_string(i + 1), 8000};
       member.caller_endpoint = {member.peer_endpoint.address, 8001};
       member.data_centre = DataCentreId("dc" + std::to_string(d));
       member.id = IdOfEndpoint(member.peer_endpoint);
+      member.millicores = millicores[i];
       ids_.push_back(member.id);
       instances_[member.id].member = member;
       // Each seed is in a different data centre; there are at most as many
@@ -34,6 +44,8 @@
   instance.table = std::make_unique<FleetTable>();
   instance.table->member_list = MakeMemberList(instance.member);
   instance.table->seeds = seeds_;
+  instance.usage = UsageLimiter();
+  instance.requests = 0;
 }
 
 void FleetSim::Kill(int index) {
@@ -42,6 +54,13 @@
   instance.wanted_links.clear();
   // The end of a process closes its connections.
   UpdateLinks();
+  const InstanceId id = IdOf(index);
+  messages_.erase(std::remove_if(messages_.begin(), messages_.end(),
+                                 [&id](const SimMessage& message) {
+                                   return message.from == id ||
+                                          message.to == id;
+                                 }),
+                  messages_.end());
 }
 
 void FleetSim::Leave(int index) {
@@ -59,11 +78,38 @@
     isolated_.erase(IdOf(index));
 }
 
+void FleetSim::SetGroup(int index, int group) {
+  groups_[IdOf(index)] = group;
+}
+
+void FleetSim::SetCut(int a, int b, bool cut) {
+  const std::pair<InstanceId, InstanceId> path = std::minmax(IdOf(a), IdOf(b));
+  if (cut)
+    cuts_.insert(path);
+  else
+    cuts_.erase(path);
+}
+
+void FleetSim::SetMessageDelays(Duration max, uint64_t seed) {
+  max_message_delay_ = max;
+  delay_random_.seed(seed);
+}
+
+void FleetSim::SetRequestRate(int index, double requests_per_s) {
+  instances_.at(IdOf(index)).requests_per_s = requests_per_s;
+}
+
+int FleetSim::GroupOf(const InstanceId& id) const {
+  const auto found = groups_.find(id);
+  return found == groups_.end() ? 0 : found->second;
+}
+
 bool FleetSim::Reachable(const InstanceId& a, const InstanceId& b) const {
   const auto found = instances_.find(b);
   return found != instances_.end() && found->second.table &&
          instances_.at(a).table && isolated_.count(a) == 0 &&
-         isolated_.count(b) == 0;
+         isolated_.count(b) == 0 && GroupOf(a) == GroupOf(b) &&
+         cuts_.count(std::minmax(a, b)) == 0;
 }
 
 void FleetSim::UpdateLinks() {
@@ -93,19 +139,89 @@
   }
 }
 
+void FleetSim::Send(const InstanceId& from,
+                    const InstanceId& to,
+                    PeerMessage message) {
+  TimePoint deliver_at = now_;
+  if (max_message_delay_ > Duration::zero()) {
+    TimePoint& last = last_delivery_[{from, to}];
+    deliver_at += std::uniform_int_distribution<Duration::rep>(
+                      0, max_message_delay_.count())(delay_random_) *
+                  Duration(1);
+    last = deliver_at = std::max(deliver_at, last);
+  }
+  messages_.push_back({from, to, std::move(message), deliver_at});
+}
+
+void FleetSim::SendHeartbeats(const InstanceId& id,
+                              SimInstance& instance,
+                              const std::vector<InstanceId>& due) {
+  const FleetViewPtr view = ViewFleet(*instance.table);
+  const bool is_leader = view->rank == 0;
+  std::vector<InstanceId> local_peers;
+  std::vector<InstanceId> remote_peers;
+  for (const InstanceId& peer : due)
+    (view->local_peers.count(peer) > 0 ? local_peers : remote_peers)
+        .push_back(peer);
+  SendHeartbeat(id, instance, local_peers,
+                is_leader ? UsageScope::kFleet : UsageScope::kInstance, true);
+  SendHeartbeat(id, instance, remote_peers, UsageScope::kDataCentre, is_leader);
+}
+
+void FleetSim::SendHeartbeat(const InstanceId& id,
+                             SimInstance& instance,
+                             const std::vector<InstanceId>& to,
+                             UsageScope scope,
+                             bool includes_rates) {
+  if (to.empty())
+    return;
+  FleetHeartbeat heartbeat;
+  if (includes_rates) {
+    heartbeat.scope = scope;
+    FillRequestRates(*instance.table, heartbeat, now_);
+    FillUsage(instance.usage, heartbeat, now_);
+  }
+  for (const InstanceId& peer : to)
+    Send(id, peer, heartbeat);
+}
+
 void FleetSim::Deliver() {
   std::deque<SimMessage> messages;
   messages.swap(messages_);
-  for (const SimMessage& sim_message : messages) {
-    if (!Reachable(sim_message.from, sim_message.to))
-      continue;
-    FleetTable& table = *instances_.at(sim_message.to).table;
-    RecordMessageFrom(table, sim_message.from, now_);
-    if (const auto* update = std::get_if<MemberUpdate>(&sim_message.message))
-      HandleMemberUpdate(table, sim_message.from, *update, now_);
+  for (SimMessage& sim_message : messages) {
+    if (sim_message.deliver_at > now_)
+      messages_.push_back(std::move(sim_message));
+    else if (Reachable(sim_message.from, sim_message.to))
+      Handle(sim_message);
   }
 }
 
+void FleetSim::Handle(const SimMessage& sim_message) {
+  SimInstance& instance = instances_.at(sim_message.to);
+  RecordMessageFrom(*instance.table, sim_message.from, now_);
+  if (const auto* update = std::get_if<MemberUpdate>(&sim_message.message))
+    HandleMemberUpdate(*instance.table, sim_message.from, *update, now_);
+  else if (const auto* heartbeat =
+               std::get_if<FleetHeartbeat>(&sim_message.message))
+    HandleHeartbeat(instance, sim_message.from, *heartbeat);
+}
+
+// Does what FleetProcess::HandleHeartbeat does for rates and usage.
+void FleetSim::HandleHeartbeat(SimInstance& instance,
+                               const InstanceId& from,
+                               const FleetHeartbeat& heartbeat) {
+  const FleetViewPtr view = ViewFleet(*instance.table);
+  RecordPeerRequestRates(*instance.table, from, heartbeat, now_);
+  const auto sender =
+      std::find_if(view->live.begin(), view->live.end(),
+                   [&](const Member& member) { return member.id == from; });
+  if (sender == view->live.end())
+    return;
+  RecordPeerUsage(instance.usage, from, sender->data_centre,
+                  sender->data_centre == view->self.data_centre, heartbeat,
+                  now_);
+}
+
 void FleetSim::CountSent(SimInstance& from, const OutgoingMessage& message) {
   const auto* update = std::get_if<MemberUpdate>(&message.message);
   if (!update)
@@ -115,31 +231,47 @@
     remote_states_sent_ += update->members.size();
 }
 
+void FleetSim::Tick(const InstanceId& id, SimInstance& instance) {
+  const FleetActions actions = TickFleet(*instance.table, now_);
+  instance.requests += instance.requests_per_s * Seconds(kFleetTick);
+  CountRequests(*instance.table, static_cast<uint64_t>(instance.requests),
+                now_);
+  for (const InstanceId& gone : actions.gone)
+    false_removals_ += Reachable(id, gone) ? 1 : 0;
+  instance.wanted_links.clear();
+  for (const Instance& link : actions.links)
+    instance.wanted_links.insert(link.id);
+  for (const OutgoingMessage& message : actions.messages) {
+    CountSent(instance, message);
+    Send(id, message.to, message.message);
+  }
+  const FleetViewPtr view = ViewFleet(*instance.table);
+  SetInstanceCount(instance.usage, static_cast<int>(view->live.size()), now_);
+  SetLeader(instance.usage, view->rank == 0, now_);
+  SendHeartbeats(id, instance, actions.heartbeats);
+}
+
 void FleetSim::RunFor(Duration duration) {
   const TimePoint end = now_ + duration;
   while (now_ < end) {
     now_ += kFleetTick;
     for (auto& [id, instance] : instances_) {
-      if (!instance.table)
-        continue;
-      const FleetActions actions = TickFleet(*instance.table, now_);
-      for (const InstanceId& gone : actions.gone)
-        false_removals_ += Reachable(id, gone) ? 1 : 0;
-      instance.wanted_links.clear();
-      for (const Instance& link : actions.links)
-        instance.wanted_links.insert(link.id);
-      for (const OutgoingMessage& message : actions.messages) {
-        CountSent(instance, message);
-        messages_.push_back({id, message.to, message.message});
-      }
-      for (const InstanceId& peer : actions.heartbeats)
-        messages_.push_back({id, peer, FleetHeartbeat()});
+      if (instance.table)
+        Tick(id, instance);
     }
     UpdateLinks();
     Deliver();
   }
 }
 
+const Member& FleetSim::MemberAt(int index) const {
+  return instances_.at(IdOf(index)).member;
+}
+
+const FleetTable& FleetSim::TableAt(int index) const {
+  return *instances_.at(IdOf(index)).table;
+}
+
 std::set<std::string> FleetSim::LiveAt(int index) const {
   std::set<std::string> live;
   for (const Member& member :
--- a/tests/members/fleet_sim.h
+++ b/tests/members/fleet_sim.h
@@ -4,10 +4,13 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "process/accounts/usage_limiter.h"
 #include "process/fleet/fleet_table.h"
 
 namespace mangodoor {
@@ -17,6 +20,13 @@
   InstanceId from;
   InstanceId to;
   PeerMessage message;
+  TimePoint deliver_at{};
+};
+
+/** The instances of one simulated data centre. */
+struct SimDataCentre {
+  /** Processor time of each instance, in thousandths of a core. */
+  std::vector<int> millicores;
 };
 
 /** One instance of a simulated fleet. */
@@ -24,6 +34,12 @@
   Member member;
   /** Null while the process does not run. */
   std::unique_ptr<FleetTable> table;
+  /** Fills in how many instances the rates of a heartbeat cover. */
+  UsageLimiter usage;
+  /** Rate at which callers send requests to it. */
+  double requests_per_s = 0;
+  /** Requests received since the start of the process. */
+  double requests = 0;
   /** Instances that it keeps a link to. */
   std::set<InstanceId> wanted_links;
   /** Number of member states that it has sent to other instances. */
@@ -38,6 +54,8 @@
 class FleetSim {
  public:
   FleetSim(int data_centres, int instances_each, int seeds);
+  /** Indices of the instances go up in the order of the data centres. */
+  FleetSim(const std::vector<SimDataCentre>& data_centres, int seeds);
 
   InstanceId IdOf(int index) const;
   int size() const { return static_cast<int>(ids_.size()); }
@@ -48,8 +66,21 @@
   bool IsRunning(int index) const;
   /** Cuts all network paths of an instance, or restores them. */
   void SetIsolated(int index, bool isolated);
+  /**
+   * Moves an instance to a group; instances of different groups cannot reach
+   * each other. All are in group 0 at first.
+   */
+  void SetGroup(int index, int group);
+  /** Cuts the network path between two instances, or restores it. */
+  void SetCut(int a, int b, bool cut);
+  /** Delays each later message by up to `max`; links keep their order. */
+  void SetMessageDelays(Duration max, uint64_t seed);
+  void SetRequestRate(int index, double requests_per_s);
   void RunFor(Duration duration);
 
+  const Member& MemberAt(int index) const;
+  /** The table of a running instance. */
+  const FleetTable& TableAt(int index) const;
   /** Ids of the live members in an instance's table. */
   std::set<std::string> LiveAt(int index) const;
   /** Ids of the running instances. */
@@ -65,17 +96,40 @@
   int false_removals() const { return false_removals_; }
 
  private:
+  int GroupOf(const InstanceId& id) const;
   bool Reachable(const InstanceId& a, const InstanceId& b) const;
   void UpdateLinks();
+  void Tick(const InstanceId& id, SimInstance& instance);
+  void Send(const InstanceId& from, const InstanceId& to, PeerMessage message);
+  void SendHeartbeats(const InstanceId& id,
+                      SimInstance& instance,
+                      const std::vector<InstanceId>& due);
+  void SendHeartbeat(const InstanceId& id,
+                     SimInstance& instance,
+                     const std::vector<InstanceId>& to,
+                     UsageScope scope,
+                     bool includes_rates);
   void Deliver();
+  void Handle(const SimMessage& sim_message);
+  void HandleHeartbeat(SimInstance& instance,
+                       const InstanceId& from,
+                       const FleetHeartbeat& heartbeat);
   void CountSent(SimInstance& from, const OutgoingMessage& message);
 
   std::vector<InstanceId> ids_;
   std::map<InstanceId, SimInstance> instances_;
   std::vector<Endpoint> seeds_;
   std::set<InstanceId> isolated_;
+  /** Groups of the instances that are not in group 0. */
+  std::map<InstanceId, int> groups_;
+  std::set<std::pair<InstanceId, InstanceId>> cuts_;
   std::set<std::pair<InstanceId, InstanceId>> links_;
   std::deque<SimMessage> messages_;
+  Duration max_message_delay_{};
+  std::mt19937_64 delay_random_;
+  /** When the latest message over a link will arrive, by sender and receiver.
+   */
+  std::map<std::pair<InstanceId, InstanceId>, TimePoint> last_delivery_;
   TimePoint now_{std::chrono::hours(1)};
   uint64_t next_incarnation_ = 1;
   int false_removals_ = 0;
