--- a/tests/members/cold_fleet_sim.cc
+++ b/tests/members/cold_fleet_sim.cc
@@ -156,13 +156,18 @@
   }
 }
 
+void ColdFleetSim::SetCallerRate(size_t data_centre, double requests_per_s) {
+  requests_per_s_.at(data_centre) = requests_per_s;
+  SpreadCallers();
+}
+
 void ColdFleetSim::RunFor(Duration duration) {
   const TimePoint end = now_ + duration;
   while (now_ < end) {
     if (now_ >= fleet_.now() + kFleetTick) {
       fleet_.RunFor(kFleetTick);
       for (int i = 0; i < fleet_.size(); ++i) {
-        if (fleet_.IsRunning(i))
+        if (fleet_.IsRunning(i) && !fleet_.IsPaused(i))
           UpdateShares(i);
       }
     }
@@ -173,7 +178,7 @@
 
 void ColdFleetSim::Serve() {
   for (size_t i = 0; i < instances_.size(); ++i) {
-    if (!instances_[i])
+    if (!instances_[i] || fleet_.IsPaused(static_cast<int>(i)))
       continue;
     ReceiveRecords(*instances_[i]);
     EndRequests(*instances_[i]);
--- a/tests/members/cold_fleet_sim.h
+++ b/tests/members/cold_fleet_sim.h
@@ -81,7 +81,10 @@
                int seeds,
                uint64_t seed);
 
-  /** Cuts, groups and delays; use Start() and Kill() of this object. */
+  /**
+   * For cuts, groups, delays, pauses and planned stops; for starts and kills
+   * use Start() and Kill() of this object.
+   */
   FleetSim& fleet() { return fleet_; }
 
   /** Adds a warm server with a service of its own; returns its number. */
@@ -90,8 +93,11 @@
   void Kill(int index);
   /** Makes a server cold, as it would be after a restart. */
   void TurnCold(int server, Duration duration);
+  /** Sets the rate of all callers of a data centre, by its number. */
+  void SetCallerRate(size_t data_centre, double requests_per_s);
   void RunFor(Duration duration);
 
+  int servers() const { return static_cast<int>(servers_.size()); }
   bool IsServerCold(int server) const;
   size_t ColdRequestsOf(int server) const;
   const BusiestSecond& busiest_second() const { return busiest_second_; }
--- a/tests/members/cold_fleet_sim_test.cc
+++ b/tests/members/cold_fleet_sim_test.cc
@@ -2,48 +2,30 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <numeric>
+
+#include "members/random_cold_series.h"
+
 namespace mangodoor {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const DataCentreId first_data_centre("dc0");
-
-/** The instances of the data centre of the cold server: 0 to 23. */
-constexpr int kLargeInstances = 2;
-constexpr int kInstances = 24;
-constexpr int kLargeMillicores = 500;
-constexpr int kSmallMillicores = 100;
-
-/** The instances of the other data centre: 24 to 27. */
-constexpr int kOtherInstances = 4;
-constexpr int kOtherMillicores = 250;
-
-// With these rates, six of the 24 instances are advertised.
-constexpr double kRequestsPerS = 700;
-constexpr double kOtherRequestsPerS = 200;
-
 constexpr Duration kSettleTime = seconds(20);
 constexpr Duration kColdPhase = seconds(20);
+constexpr Duration kRestartTime = milliseconds(300);
 
-std::vector<SimDataCentre> TwoDataCentres() {
-  SimDataCentre first;
-  first.millicores.assign(kInstances, kSmallMillicores);
-  std::fill_n(first.millicores.begin(), kLargeInstances, kLargeMillicores);
-  SimDataCentre second;
-  second.millicores.assign(kOtherInstances, kOtherMillicores);
-  return {first, second};
-}
+/** Part of its rate for which a cold server has to be used, at least. */
+constexpr double kMinUse = 0.5;
 
 class ColdFleetSimTest : public testing::Test {
  protected:
   ColdFleetSimTest()
-      : sim_(TwoDataCentres(), {kRequestsPerS, kOtherRequestsPerS}, 2, 1),
+      : sim_(MakeUsersFleet(1)),
         server_(sim_.AddServer(first_data_centre)),
-        start_(sim_.now()) {}
-
-  void StartAll() {
+        start_(sim_.now()) {
     for (int i = 0; i < sim_.fleet().size(); ++i)
       sim_.Start(i);
     sim_.RunFor(kSettleTime);
@@ -51,21 +33,66 @@
 
   void TurnCold() { sim_.TurnCold(server_, kColdPhase); }
 
-  /** Kills the instances from `first` to `last` and starts them again. */
-  void Restart(int first, int last) {
-    for (int i = first; i <= last; ++i)
+  /** Turns the server cold again a second after the end of each phase. */
+  void RunWithColdPhases(Duration duration) {
+    for (Duration passed{}; passed < duration; passed += seconds(1)) {
+      if (!sim_.IsServerCold(server_))
+        TurnCold();
+      sim_.RunFor(seconds(1));
+    }
+  }
+
+  void Kill(const std::vector<int>& indices) {
+    for (const int i : indices)
       sim_.Kill(i);
-    sim_.RunFor(milliseconds(300));
-    for (int i = first; i <= last; ++i)
+  }
+
+  void Start(const std::vector<int>& indices) {
+    for (const int i : indices)
       sim_.Start(i);
   }
 
+  void Restart(const std::vector<int>& indices) {
+    Kill(indices);
+    sim_.RunFor(kRestartTime);
+    Start(indices);
+  }
+
+  /** Splits the data centre of the server, and joins it again later. */
+  void SplitInto(int groups) {
+    RunWithColdPhases(seconds(2));
+    for (int i = 0; i < kInstances; ++i)
+      sim_.fleet().SetGroup(i, i % groups);
+    RunWithColdPhases(seconds(30));
+    for (int i = 0; i < kInstances; ++i)
+      sim_.fleet().SetGroup(i, 0);
+    RunWithColdPhases(seconds(10));
+  }
+
+  /** The leader of the server's data centre, in its own view. */
+  int Leader() {
+    for (int i = 0; i < kInstances; ++i) {
+      if (ViewFleet(sim_.fleet().TableAt(i))->rank == 0)
+        return i;
+    }
+    return 0;
+  }
+
   void ExpectWithinBound() const {
     EXPECT_LE(static_cast<double>(sim_.busiest_second().requests),
               kMaxColdRequestsPerSecond)
         << Describe(sim_.busiest_second(), start_);
   }
 
+  /** Expects that a whole cold phase from now on is used. */
+  void ExpectUsed() {
+    const size_t before = sim_.ColdRequestsOf(server_);
+    TurnCold();
+    sim_.RunFor(kColdPhase);
+    EXPECT_GE(static_cast<double>(sim_.ColdRequestsOf(server_) - before),
+              kMinUse * kColdRatePerS * Seconds(kColdPhase));
+  }
+
   ColdFleetSim sim_;
   int server_;
   TimePoint start_;
@@ -74,51 +101,164 @@
 // Guards against a cold server that is flooded or unused while no instance
 // fails.
 TEST_F(ColdFleetSimTest, SettledFleetUsesAColdServer) {
-  StartAll();
-  TurnCold();
-  sim_.RunFor(kColdPhase);
+  ExpectUsed();
   ExpectWithinBound();
-  EXPECT_GE(static_cast<double>(sim_.ColdRequestsOf(server_)),
-            0.5 * kColdRatePerS * Seconds(kColdPhase));
 }
 
 // Guards against restarted instances that each know only themselves.
 TEST_F(ColdFleetSimTest, AllInstancesRestartAtOnce) {
-  StartAll();
   TurnCold();
   sim_.RunFor(seconds(2));
-  Restart(0, kInstances - 1);
+  Restart(IndexRange(0, kInstances));
+  sim_.RunFor(kColdPhase);
+  ExpectWithinBound();
+}
+
+// Guards against restarted instances that take shares beside those of the rest.
+TEST_F(ColdFleetSimTest, HalfOfTheInstancesRestartAtOnce) {
+  TurnCold();
+  sim_.RunFor(seconds(2));
+  Restart(IndexRange(kInstances / 2, kInstances));
   sim_.RunFor(kColdPhase);
   ExpectWithinBound();
 }
 
+// Guards against the requests of each restarted instance that add up.
+TEST_F(ColdFleetSimTest, InstancesRestartOneAfterTheOther) {
+  for (int i = 0; i < kInstances; ++i) {
+    Restart({i});
+    RunWithColdPhases(seconds(1));
+  }
+  RunWithColdPhases(seconds(10));
+  ExpectWithinBound();
+}
+
 // Guards against instances that use the whole rate once all peers are silent.
-TEST_F(ColdFleetSimTest, InstancesCutOffOneByOne) {
-  StartAll();
+TEST_F(ColdFleetSimTest, InstancesAreCutOffOneByOne) {
   for (int i = 0; i < kInstances; ++i) {
     sim_.fleet().SetIsolated(i, true);
-    if (!sim_.IsServerCold(server_))
-      TurnCold();
-    sim_.RunFor(seconds(1));
-  }
-  for (Duration cut{}; cut < seconds(30); cut += seconds(1)) {
-    if (!sim_.IsServerCold(server_))
-      TurnCold();
-    sim_.RunFor(seconds(1));
+    RunWithColdPhases(seconds(1));
   }
+  RunWithColdPhases(seconds(30));
+  ExpectWithinBound();
+}
+
+// Guards against parts of a data centre that each use the whole rate.
+TEST_F(ColdFleetSimTest, DataCentreSplitsIntoTwo) {
+  SplitInto(2);
+  ExpectWithinBound();
+}
+
+// Guards against parts of a data centre that each use the whole rate.
+TEST_F(ColdFleetSimTest, DataCentreSplitsIntoThree) {
+  SplitInto(3);
+  ExpectWithinBound();
+}
+
+// Guards against parts of a data centre that each use the whole rate.
+TEST_F(ColdFleetSimTest, DataCentreSplitsIntoFour) {
+  SplitInto(4);
+  ExpectWithinBound();
+}
+
+// Guards against instances that disagree about which of them are advertised.
+TEST_F(ColdFleetSimTest, LargeInstancesEndAndComeBack) {
+  RunWithColdPhases(seconds(2));
+  Kill(IndexRange(0, kLargeInstances));
+  RunWithColdPhases(seconds(12));
+  Start(IndexRange(0, kLargeInstances));
+  RunWithColdPhases(seconds(30));
+  ExpectWithinBound();
+}
+
+// Guards against an instance that learns of no other one after its start.
+TEST_F(ColdFleetSimTest, OneInstanceRestartsWhileCutOff) {
+  RunWithColdPhases(seconds(2));
+  sim_.fleet().SetIsolated(kLargeInstances, true);
+  Restart({kLargeInstances});
+  RunWithColdPhases(seconds(30));
   ExpectWithinBound();
 }
 
 // Guards against restarted instances of another data centre that know no
 // instance of the cold server's data centre.
 TEST_F(ColdFleetSimTest, InstancesOfTheOtherDataCentreRestartAtOnce) {
-  StartAll();
   TurnCold();
   sim_.RunFor(seconds(2));
-  Restart(kInstances, kInstances + kOtherInstances - 1);
+  Restart(IndexRange(kInstances, kInstances + kOtherInstances));
   sim_.RunFor(kColdPhase);
   ExpectWithinBound();
 }
 
+// Guards against instances of another data centre that take the server for one
+// without instances because the data centres cannot reach each other.
+TEST_F(ColdFleetSimTest, OtherDataCentreIsCutOff) {
+  RunWithColdPhases(seconds(2));
+  for (const int i : IndexRange(kInstances, kInstances + kOtherInstances))
+    sim_.fleet().SetGroup(i, 1);
+  RunWithColdPhases(seconds(30));
+  ExpectWithinBound();
+}
+
+// Guards against paused instances that use outdated shares when they continue.
+TEST_F(ColdFleetSimTest, PausedInstancesContinueWhileOthersUseTheirShares) {
+  RunWithColdPhases(seconds(2));
+  const std::vector<int> paused = IndexRange(0, kInstances / 2);
+  for (const int i : paused)
+    sim_.fleet().SetPaused(i, true);
+  RunWithColdPhases(seconds(8));
+  for (const int i : paused)
+    sim_.fleet().SetPaused(i, false);
+  RunWithColdPhases(seconds(10));
+  ExpectWithinBound();
+}
+
+// Guards against instances that disagree about which of them are advertised
+// because they learn of another request rate at different times.
+TEST_F(ColdFleetSimTest, RequestRateRisesAndFalls) {
+  sim_.fleet().SetMessageDelays(milliseconds(400), 1);
+  for (const double factor : {0.2, 4.0, 0.2, 2.0, 1.0}) {
+    sim_.SetCallerRate(0, kRequestsPerS * factor);
+    RunWithColdPhases(seconds(10));
+  }
+  ExpectWithinBound();
+}
+
+// Guards against a server that nobody uses because one instance is cut off.
+TEST_F(ColdFleetSimTest, ServerIsUsedWhileOneInstanceIsCutOff) {
+  sim_.fleet().SetIsolated(kInstances - 1, true);
+  ExpectUsed();
+  ExpectWithinBound();
+}
+
+// Guards against a server that nobody uses after the leader's end.
+TEST_F(ColdFleetSimTest, ServerIsUsedAfterTheLeaderEnds) {
+  Kill({Leader()});
+  sim_.RunFor(seconds(5));
+  ExpectUsed();
+  ExpectWithinBound();
+}
+
+// Guards against a server that nobody uses long after a restart of all.
+TEST_F(ColdFleetSimTest, ServerIsUsedAfterARestartOfAll) {
+  Restart(IndexRange(0, sim_.fleet().size()));
+  sim_.RunFor(seconds(10));
+  ExpectUsed();
+  ExpectWithinBound();
+}
+
+// Guards against combinations of the faults above that exceed the bound, or
+// after which a cold server is not used.
+TEST(ColdFleetSimSeriesTest, ColdServersStayWithinTheBoundUnderRandomFaults) {
+  const SeedRange seeds = SeedsFromEnvironment();
+  std::vector<ColdSeriesResult> failed;
+  for (uint64_t i = 0; i < seeds.count; ++i) {
+    ColdSeriesResult result = RunRandomColdSeries(seeds.first + i);
+    if (!IsWithinBound(result) || !AreServersUsed(result))
+      failed.push_back(std::move(result));
+  }
+  EXPECT_TRUE(failed.empty()) << DescribeFailures(failed, seeds);
+}
+
 }  // namespace
 }  // namespace mangodoor
--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -50,6 +50,7 @@
 
 void FleetSim::Kill(int index) {
   SimInstance& instance = instances_.at(IdOf(index));
+  paused_.erase(IdOf(index));
   instance.table.reset();
   instance.wanted_links.clear();
   // The end of a process closes its connections.
@@ -90,6 +91,17 @@
     cuts_.erase(path);
 }
 
+void FleetSim::SetPaused(int index, bool paused) {
+  if (paused)
+    paused_.insert(IdOf(index));
+  else
+    paused_.erase(IdOf(index));
+}
+
+bool FleetSim::IsPaused(int index) const {
+  return paused_.count(IdOf(index)) > 0;
+}
+
 void FleetSim::SetMessageDelays(Duration max, uint64_t seed) {
   max_message_delay_ = max;
   delay_random_.seed(seed);
@@ -189,7 +201,7 @@
   std::deque<SimMessage> messages;
   messages.swap(messages_);
   for (SimMessage& sim_message : messages) {
-    if (sim_message.deliver_at > now_)
+    if (sim_message.deliver_at > now_ || paused_.count(sim_message.to) > 0)
       messages_.push_back(std::move(sim_message));
     else if (Reachable(sim_message.from, sim_message.to))
       Handle(sim_message);
@@ -256,7 +268,7 @@
   while (now_ < end) {
     now_ += kFleetTick;
     for (auto& [id, instance] : instances_) {
-      if (instance.table)
+      if (instance.table && paused_.count(id) == 0)
         Tick(id, instance);
     }
     UpdateLinks();
--- a/tests/members/fleet_sim.h
+++ b/tests/members/fleet_sim.h
@@ -73,6 +73,12 @@
   void SetGroup(int index, int group);
   /** Cuts the network path between two instances, or restores it. */
   void SetCut(int a, int b, bool cut);
+  /**
+   * Stops the process of an instance, which keeps its links, or continues it;
+   * it receives the messages of the meantime when it continues.
+   */
+  void SetPaused(int index, bool paused);
+  bool IsPaused(int index) const;
   /** Delays each later message by up to `max`; links keep their order. */
   void SetMessageDelays(Duration max, uint64_t seed);
   void SetRequestRate(int index, double requests_per_s);
@@ -120,6 +126,7 @@
   std::map<InstanceId, SimInstance> instances_;
   std::vector<Endpoint> seeds_;
   std::set<InstanceId> isolated_;
+  std::set<InstanceId> paused_;
   /** Groups of the instances that are not in group 0. */
   std::map<InstanceId, int> groups_;
   std::set<std::pair<InstanceId, InstanceId>> cuts_;
