--- a/tests/members/cold_fleet_sim.cc
+++ b/tests/members/cold_fleet_sim.cc
@@ -60,7 +60,8 @@
 std::string Describe(const BusiestSecond& second, TimePoint start) {
   return "server " + std::to_string(second.server) + " got " +
          std::to_string(second.requests) + " requests from " +
-         std::to_string(second.senders) + " instances in the second from " +
+         std::to_string(second.senders) + " instances with " +
+         std::to_string(second.shares) + " of the rate in the second from " +
          std::to_string(Seconds(second.from - start)) + " s, cold since " +
          std::to_string(Seconds(second.phase_from - start)) + " s";
 }
@@ -68,13 +69,17 @@
 ColdFleetSim::ColdFleetSim(const std::vector<SimDataCentre>& data_centres,
                            std::vector<double> requests_per_s,
                            int seeds,
+                           const ColdFleetTiming& timing,
                            uint64_t seed)
     : fleet_(data_centres, seeds),
       requests_per_s_(std::move(requests_per_s)),
       instances_(static_cast<size_t>(fleet_.size())),
       version_(MakeColdVersion(0)),
       random_(seed),
-      now_(fleet_.now()) {}
+      now_(fleet_.now()) {
+  fleet_.SetTiming({kStep, timing.connect_time, timing.max_message_delay},
+                   random_());
+}
 
 int ColdFleetSim::AddServer(const DataCentreId& data_centre) {
   const size_t number = servers_.size();
@@ -138,6 +143,19 @@
   pool.shares = ComputeInstanceShares(*view, requests_per_s);
 }
 
+double ColdFleetSim::SumOfShares(const DataCentreId& data_centre) const {
+  double sum = 0;
+  for (const auto& instance : instances_) {
+    if (!instance)
+      continue;
+    const ServerPool& pool = instance->pool;
+    if (pool.own_data_centre == data_centre ||
+        !HasInstance(pool.shares, data_centre))
+      sum += OwnShare(pool.shares, data_centre);
+  }
+  return sum;
+}
+
 void ColdFleetSim::ReadRecordsAfterStart(ServingInstance& instance) {
   for (const SimServer& server : servers_)
     instance.arriving_records.emplace(now_ + kFirstReadDelay, server.record);
@@ -164,15 +182,13 @@
 void ColdFleetSim::RunFor(Duration duration) {
   const TimePoint end = now_ + duration;
   while (now_ < end) {
-    if (now_ >= fleet_.now() + kFleetTick) {
-      fleet_.RunFor(kFleetTick);
-      for (int i = 0; i < fleet_.size(); ++i) {
-        if (fleet_.IsRunning(i) && !fleet_.IsPaused(i))
-          UpdateShares(i);
-      }
+    fleet_.RunFor(kStep);
+    now_ = fleet_.now();
+    for (int i = 0; i < fleet_.size(); ++i) {
+      if (fleet_.IsRunning(i) && fleet_.HasJustTicked(i))
+        UpdateShares(i);
     }
     Serve();
-    now_ += kStep;
   }
 }
 
@@ -283,8 +299,12 @@
     recent.pop_front();
   recent.push_back({now_, index});
   if (recent.size() > busiest_second_.requests)
-    busiest_second_ = {number, recent.size(), CountSenders(recent),
-                       recent.front().at, server.cold_from};
+    busiest_second_ = {number,
+                       recent.size(),
+                       CountSenders(recent),
+                       SumOfShares(server.record.data_centre),
+                       recent.front().at,
+                       server.cold_from};
 }
 
 bool ColdFleetSim::IsServerCold(int server) const {
--- a/tests/members/cold_fleet_sim.h
+++ b/tests/members/cold_fleet_sim.h
@@ -32,6 +32,8 @@
   size_t requests = 0;
   /** Number of instances that sent them. */
   size_t senders = 0;
+  /** Sum of the shares that all instances used for this server then. */
+  double shares = 0;
   /** Start of that second, and of the cold phase that it is in. */
   TimePoint from{};
   TimePoint phase_from{};
@@ -68,6 +70,12 @@
   uint64_t random = 0;
 };
 
+/** How fast instances of a ColdFleetSim learn of each other. */
+struct ColdFleetTiming {
+  Duration connect_time = std::chrono::milliseconds(100);
+  Duration max_message_delay = std::chrono::milliseconds(40);
+};
+
 /**
  * Simulates a fleet whose callers keep requesting every service, so that each
  * instance sends to a cold server whenever it may. Instances that are cut off
@@ -79,6 +87,7 @@
   ColdFleetSim(const std::vector<SimDataCentre>& data_centres,
                std::vector<double> requests_per_s,
                int seeds,
+               const ColdFleetTiming& timing,
                uint64_t seed);
 
   /**
@@ -106,6 +115,7 @@
  private:
   void SpreadCallers();
   void UpdateShares(int index);
+  double SumOfShares(const DataCentreId& data_centre) const;
   void ReadRecordsAfterStart(ServingInstance& instance);
   void ReceiveRecords(ServingInstance& instance);
   void Serve();
--- a/tests/members/cold_fleet_sim_test.cc
+++ b/tests/members/cold_fleet_sim_test.cc
@@ -79,6 +79,7 @@
   }
 
   void ExpectWithinBound() const {
+    RecordProperty("busiest_second", Describe(sim_.busiest_second(), start_));
     EXPECT_LE(static_cast<double>(sim_.busiest_second().requests),
               kMaxColdRequestsPerSecond)
         << Describe(sim_.busiest_second(), start_);
@@ -216,7 +217,6 @@
 // Guards against instances that disagree about which of them are advertised
 // because they learn of another request rate at different times.
 TEST_F(ColdFleetSimTest, RequestRateRisesAndFalls) {
-  sim_.fleet().SetMessageDelays(milliseconds(400), 1);
   for (const double factor : {0.2, 4.0, 0.2, 2.0, 1.0}) {
     sim_.SetCallerRate(0, kRequestsPerS * factor);
     RunWithColdPhases(seconds(10));
@@ -247,10 +247,17 @@
   ExpectWithinBound();
 }
 
+/** The blocks of seeds, which can run beside each other. */
+class ColdSeriesTest : public testing::TestWithParam<uint64_t> {};
+
+INSTANTIATE_TEST_SUITE_P(Blocks,
+                         ColdSeriesTest,
+                         testing::Range<uint64_t>(0, 8));
+
 // Guards against combinations of the faults above that exceed the bound, or
 // after which a cold server is not used.
-TEST(ColdFleetSimSeriesTest, ColdServersStayWithinTheBoundUnderRandomFaults) {
-  const SeedRange seeds = SeedsFromEnvironment();
+TEST_P(ColdSeriesTest, ServersStayWithinTheBoundUnderRandomFaults) {
+  const SeedRange seeds = SeedsOfBlock(GetParam());
   std::vector<ColdSeriesResult> failed;
   for (uint64_t i = 0; i < seeds.count; ++i) {
     ColdSeriesResult result = RunRandomColdSeries(seeds.first + i);
--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -45,6 +45,7 @@
   instance.table->member_list = MakeMemberList(instance.member);
   instance.table->seeds = seeds_;
   instance.usage = UsageLimiter();
+  instance.next_tick = now_;
   instance.requests = 0;
 }
 
@@ -94,17 +95,28 @@
 void FleetSim::SetPaused(int index, bool paused) {
   if (paused)
     paused_.insert(IdOf(index));
-  else
-    paused_.erase(IdOf(index));
+  else if (paused_.erase(IdOf(index)) > 0)
+    instances_.at(IdOf(index)).next_tick = NextTick();
 }
 
 bool FleetSim::IsPaused(int index) const {
   return paused_.count(IdOf(index)) > 0;
 }
 
-void FleetSim::SetMessageDelays(Duration max, uint64_t seed) {
-  max_message_delay_ = max;
-  delay_random_.seed(seed);
+void FleetSim::SetTiming(const SimTiming& timing, uint64_t seed) {
+  timing_ = timing;
+  random_.seed(seed);
+}
+
+Duration FleetSim::RandomUpTo(Duration max) {
+  return Duration(
+      std::uniform_int_distribution<Duration::rep>(0, max.count())(random_));
+}
+
+// Processes that started or were continued together do not tick together.
+TimePoint FleetSim::NextTick() {
+  return timing_.step < kFleetTick ? now_ + RandomUpTo(kFleetTick)
+                                   : now_ + kFleetTick;
 }
 
 void FleetSim::SetRequestRate(int index, double requests_per_s) {
@@ -125,6 +137,11 @@
 }
 
 void FleetSim::UpdateLinks() {
+  CloseLinks();
+  OpenLinks();
+}
+
+void FleetSim::CloseLinks() {
   for (auto link = links_.begin(); link != links_.end();) {
     const auto& [a, b] = *link;
     const bool wanted = instances_.at(a).wanted_links.count(b) > 0 ||
@@ -139,12 +156,23 @@
     }
     link = links_.erase(link);
   }
+}
+
+void FleetSim::OpenLinks() {
+  const auto was_connecting = std::exchange(connecting_, {});
   for (auto& [id, instance] : instances_) {
     for (const InstanceId& peer : instance.wanted_links) {
-      if (!Reachable(id, peer))
+      const std::pair<InstanceId, InstanceId> link = std::minmax(id, peer);
+      if (links_.count(link) > 0 || !Reachable(id, peer))
         continue;
-      if (!links_.insert(std::minmax(id, peer)).second)
+      const auto earlier = was_connecting.find(link);
+      const TimePoint since =
+          earlier == was_connecting.end() ? now_ : earlier->second;
+      if (now_ - since < timing_.connect_time) {
+        connecting_[link] = since;
         continue;
+      }
+      links_.insert(link);
       OpenLink(*instance.table, peer, now_);
       OpenLink(*instances_.at(peer).table, id, now_);
     }
@@ -155,12 +183,11 @@
                     const InstanceId& to,
                     PeerMessage message) {
   TimePoint deliver_at = now_;
-  if (max_message_delay_ > Duration::zero()) {
+  if (timing_.max_message_delay > Duration::zero()) {
     TimePoint& last = last_delivery_[{from, to}];
-    deliver_at += std::uniform_int_distribution<Duration::rep>(
-                      0, max_message_delay_.count())(delay_random_) *
-                  Duration(1);
-    last = deliver_at = std::max(deliver_at, last);
+    deliver_at =
+        std::max(deliver_at + RandomUpTo(timing_.max_message_delay), last);
+    last = deliver_at;
   }
   messages_.push_back({from, to, std::move(message), deliver_at});
 }
@@ -263,19 +290,30 @@
   SendHeartbeats(id, instance, actions.heartbeats);
 }
 
+void FleetSim::TickIfDue(const InstanceId& id, SimInstance& instance) {
+  if (!instance.table || paused_.count(id) > 0 || now_ < instance.next_tick)
+    return;
+  const bool is_first_tick = !instance.table->last_tick;
+  Tick(id, instance);
+  instance.next_tick = is_first_tick ? NextTick() : now_ + kFleetTick;
+  instance.ticked_at = now_;
+}
+
 void FleetSim::RunFor(Duration duration) {
   const TimePoint end = now_ + duration;
   while (now_ < end) {
-    now_ += kFleetTick;
-    for (auto& [id, instance] : instances_) {
-      if (instance.table && paused_.count(id) == 0)
-        Tick(id, instance);
-    }
+    now_ += timing_.step;
+    for (auto& [id, instance] : instances_)
+      TickIfDue(id, instance);
     UpdateLinks();
     Deliver();
   }
 }
 
+bool FleetSim::HasJustTicked(int index) const {
+  return instances_.at(IdOf(index)).ticked_at == now_;
+}
+
 const Member& FleetSim::MemberAt(int index) const {
   return instances_.at(IdOf(index)).member;
 }
--- a/tests/members/fleet_sim.h
+++ b/tests/members/fleet_sim.h
@@ -36,6 +36,8 @@
   std::unique_ptr<FleetTable> table;
   /** Fills in how many instances the rates of a heartbeat cover. */
   UsageLimiter usage;
+  TimePoint next_tick{};
+  TimePoint ticked_at{};
   /** Rate at which callers send requests to it. */
   double requests_per_s = 0;
   /** Requests received since the start of the process. */
@@ -46,10 +48,21 @@
   size_t states_sent = 0;
 };
 
+/** Durations in a simulated fleet. */
+struct SimTiming {
+  /** If this is shorter than a tick, instances tick at different times. */
+  Duration step = kFleetTick;
+  /** Time from the request for a link until it is open. */
+  Duration connect_time{};
+  /** Messages take up to this time; links keep their order. */
+  Duration max_message_delay{};
+};
+
 /**
  * Simulates a fleet in which each instance has a FleetTable. Links open and
  * close as the tables request and as running processes and the network allow.
- * Time advances in ticks.
+ * Time advances in steps. A step is as long as a tick, in which all instances
+ * tick together, unless SetTiming() sets another.
  */
 class FleetSim {
  public:
@@ -79,11 +92,13 @@
    */
   void SetPaused(int index, bool paused);
   bool IsPaused(int index) const;
-  /** Delays each later message by up to `max`; links keep their order. */
-  void SetMessageDelays(Duration max, uint64_t seed);
+  /** Sets the timing from now on; call it before the first start. */
+  void SetTiming(const SimTiming& timing, uint64_t seed);
   void SetRequestRate(int index, double requests_per_s);
   void RunFor(Duration duration);
 
+  /** True if the instance ticked in the latest step. */
+  bool HasJustTicked(int index) const;
   const Member& MemberAt(int index) const;
   /** The table of a running instance. */
   const FleetTable& TableAt(int index) const;
@@ -105,6 +120,11 @@
   int GroupOf(const InstanceId& id) const;
   bool Reachable(const InstanceId& a, const InstanceId& b) const;
   void UpdateLinks();
+  void CloseLinks();
+  void OpenLinks();
+  Duration RandomUpTo(Duration max);
+  TimePoint NextTick();
+  void TickIfDue(const InstanceId& id, SimInstance& instance);
   void Tick(const InstanceId& id, SimInstance& instance);
   void Send(const InstanceId& from, const InstanceId& to, PeerMessage message);
   void SendHeartbeats(const InstanceId& id,
@@ -131,9 +151,11 @@
   std::map<InstanceId, int> groups_;
   std::set<std::pair<InstanceId, InstanceId>> cuts_;
   std::set<std::pair<InstanceId, InstanceId>> links_;
+  /** Links that are not open yet, and when they were requested. */
+  std::map<std::pair<InstanceId, InstanceId>, TimePoint> connecting_;
   std::deque<SimMessage> messages_;
-  Duration max_message_delay_{};
-  std::mt19937_64 delay_random_;
+  SimTiming timing_;
+  std::mt19937_64 random_;
   /** When the latest message over a link will arrive, by sender and receiver.
    */
   std::map<std::pair<InstanceId, InstanceId>, TimePoint> last_delivery_;
--- a/tests/members/random_cold_series.cc
+++ b/tests/members/random_cold_series.cc
@@ -33,7 +33,10 @@
 class RandomColdSeries {
  public:
   explicit RandomColdSeries(uint64_t seed)
-      : random_(seed), sim_(MakeUsersFleet(seed)), start_(sim_.now()) {
+      : random_(seed),
+        timing_(RandomTiming()),
+        sim_(MakeUsersFleet(seed, timing_)),
+        start_(sim_.now()) {
     result_.seed = seed;
     result_.start = start_;
     sim_.AddServer(first_data_centre);
@@ -42,11 +45,9 @@
   }
 
   ColdSeriesResult Run() {
-    constexpr milliseconds kMaxDelays[] = {milliseconds(0), milliseconds(100),
-                                           milliseconds(400)};
-    const Duration max_delay = kMaxDelays[UpTo(2)];
-    sim_.fleet().SetMessageDelays(max_delay, random_());
-    Log("delays up to " + std::to_string(Seconds(max_delay)) + " s");
+    Log("connections take " + std::to_string(Seconds(timing_.connect_time)) +
+        " s, messages up to " +
+        std::to_string(Seconds(timing_.max_message_delay)) + " s");
     StartStopped();
     sim_.RunFor(kSettleTime);
     for (int i = 0; i < kFaults; ++i) {
@@ -65,6 +66,17 @@
     return std::uniform_int_distribution<int>(0, max)(random_);
   }
 
+  ColdFleetTiming RandomTiming() {
+    constexpr milliseconds kConnectTimes[] = {
+        milliseconds(0), milliseconds(100), milliseconds(500)};
+    constexpr milliseconds kMaxDelays[] = {milliseconds(0), milliseconds(40),
+                                           milliseconds(400)};
+    ColdFleetTiming timing;
+    timing.connect_time = kConnectTimes[UpTo(2)];
+    timing.max_message_delay = kMaxDelays[UpTo(2)];
+    return timing;
+  }
+
   Duration DurationUpTo(Duration max) {
     return milliseconds(UpTo(static_cast<int>(
         std::chrono::duration_cast<milliseconds>(max).count())));
@@ -254,6 +266,7 @@
   }
 
   std::mt19937_64 random_;
+  ColdFleetTiming timing_;
   ColdFleetSim sim_;
   TimePoint start_;
   ColdSeriesResult result_;
@@ -270,14 +283,14 @@
 
 }  // namespace
 
-ColdFleetSim MakeUsersFleet(uint64_t seed) {
+ColdFleetSim MakeUsersFleet(uint64_t seed, const ColdFleetTiming& timing) {
   SimDataCentre first;
   first.millicores.assign(kInstances, kSmallMillicores);
   std::fill_n(first.millicores.begin(), kLargeInstances, kLargeMillicores);
   SimDataCentre second;
   second.millicores.assign(kOtherInstances, kOtherMillicores);
   return ColdFleetSim({first, second}, {kRequestsPerS, kOtherRequestsPerS},
-                      kSeeds, seed);
+                      kSeeds, timing, seed);
 }
 
 std::vector<int> IndexRange(int begin, int end) {
@@ -299,10 +312,12 @@
   return result.lowest_use >= kMinUse;
 }
 
-SeedRange SeedsFromEnvironment() {
-  const SeedRange standard;
-  return {NumberFromEnvironment("MANGODOOR_SIM_FIRST_SEED", standard.first),
-          NumberFromEnvironment("MANGODOOR_SIM_SEEDS", standard.count)};
+SeedRange SeedsOfBlock(uint64_t block) {
+  SeedRange seeds;
+  seeds.count = NumberFromEnvironment("MANGODOOR_SIM_SEEDS", seeds.count);
+  seeds.first = NumberFromEnvironment("MANGODOOR_SIM_FIRST_SEED", seeds.first) +
+                block * seeds.count;
+  return seeds;
 }
 
 std::string DescribeFailures(const std::vector<ColdSeriesResult>& failed,
--- a/tests/members/random_cold_series.h
+++ b/tests/members/random_cold_series.h
@@ -25,7 +25,7 @@
 constexpr double kRequestsPerS = 700;
 
 /** A data centre with 2 large and 22 small instances, and one with 4. */
-ColdFleetSim MakeUsersFleet(uint64_t seed);
+ColdFleetSim MakeUsersFleet(uint64_t seed, const ColdFleetTiming& timing = {});
 
 /** The indices from `begin` up to `end`, which is not included. */
 std::vector<int> IndexRange(int begin, int end);
@@ -53,14 +53,15 @@
 
 struct SeedRange {
   uint64_t first = 1;
-  uint64_t count = 200;
+  uint64_t count = 25;
 };
 
 /**
- * The seeds to run, from MANGODOOR_SIM_FIRST_SEED and MANGODOOR_SIM_SEEDS if
- * these are set.
+ * The seeds of one of several blocks that follow each other. The environment
+ * can set the first seed of block 0 (MANGODOOR_SIM_FIRST_SEED) and the number
+ * of seeds in each block (MANGODOOR_SIM_SEEDS).
  */
-SeedRange SeedsFromEnvironment();
+SeedRange SeedsOfBlock(uint64_t block);
 
 /** Lists failed seeds, and the log of the one with the busiest second. */
 std::string DescribeFailures(const std::vector<ColdSeriesResult>& failed,
