--- a/tests/members/cold_fleet_sim.cc
+++ b/tests/members/cold_fleet_sim.cc
@@ -58,6 +58,8 @@
 }  // namespace
 
 std::string Describe(const BusiestSecond& second, TimePoint start) {
+  if (second.requests == 0)
+    return "no server got a request";
   return "server " + std::to_string(second.server) + " got " +
          std::to_string(second.requests) + " requests from " +
          std::to_string(second.senders) + " instances with " +
@@ -200,7 +202,8 @@
     EndRequests(*instances_[i]);
     for (size_t s = 0; s < servers_.size(); ++s) {
       const int server = static_cast<int>(s);
-      while (IsServerCold(server) && SendOne(static_cast<int>(i), server)) {
+      while (demand_ && IsServerCold(server) &&
+             SendOne(static_cast<int>(i), server)) {
       }
     }
   }
--- a/tests/members/cold_fleet_sim.h
+++ b/tests/members/cold_fleet_sim.h
@@ -102,6 +102,8 @@
   void Kill(int index);
   /** Makes a server cold, as it would be after a restart. */
   void TurnCold(int server, Duration duration);
+  /** Stops all requests for the servers, or lets callers keep trying again. */
+  void SetDemand(bool demand) { demand_ = demand; }
   /** Sets the rate of all callers of a data centre, by its number. */
   void SetCallerRate(size_t data_centre, double requests_per_s);
   void RunFor(Duration duration);
@@ -136,6 +138,7 @@
   std::vector<std::unique_ptr<ServingInstance>> instances_;
   VersionPtr version_;
   std::mt19937_64 random_;
+  bool demand_ = true;
   TimePoint now_{};
   BusiestSecond busiest_second_;
 };
--- a/tests/members/cold_fleet_sim_test.cc
+++ b/tests/members/cold_fleet_sim_test.cc
@@ -106,6 +106,29 @@
   ExpectWithinBound();
 }
 
+// Guards against instances that all send at the start of a second cold phase
+// because each counts its interval from its last request of the first one.
+TEST_F(ColdFleetSimTest, ServerTurnsColdAgain) {
+  for (const Duration warm : {seconds(2), seconds(5), seconds(20)}) {
+    TurnCold();
+    sim_.RunFor(kColdPhase + warm);
+  }
+  TurnCold();
+  sim_.RunFor(kColdPhase);
+  ExpectWithinBound();
+}
+
+// Guards against instances that all send their first request when the callers
+// come late in a cold phase.
+TEST_F(ColdFleetSimTest, CallersComeLateInAColdPhase) {
+  sim_.SetDemand(false);
+  TurnCold();
+  sim_.RunFor(kColdPhase - seconds(4));
+  sim_.SetDemand(true);
+  sim_.RunFor(seconds(4));
+  ExpectWithinBound();
+}
+
 // Guards against restarted instances that each know only themselves.
 TEST_F(ColdFleetSimTest, AllInstancesRestartAtOnce) {
   TurnCold();
--- a/tests/members/random_cold_series.cc
+++ b/tests/members/random_cold_series.cc
@@ -22,6 +22,7 @@
 constexpr int kFaults = 25;
 constexpr Duration kMaxTimeBetweenFaults = seconds(3);
 constexpr Duration kMaxRestartTime = milliseconds(1500);
+constexpr Duration kMaxDemandPause = seconds(20);
 constexpr Duration kMinColdPhase = seconds(2);
 constexpr Duration kMaxColdPhase = seconds(20);
 constexpr double kColdAgainProbability = 0.5;
@@ -118,7 +119,7 @@
   }
 
   void AddFault() {
-    switch (UpTo(13)) {
+    switch (UpTo(14)) {
       case 0:
         return Restart(IndexRange(0, kInstances));
       case 1:
@@ -145,6 +146,8 @@
         return CutPairs();
       case 12:
         return PauseOrContinue();
+      case 13:
+        return PauseDemand();
       default:
         return ChangeCallerRate();
     }
@@ -234,6 +237,14 @@
       sim_.fleet().SetPaused(i, false);
   }
 
+  void PauseDemand() {
+    Log("no requests for the servers");
+    sim_.SetDemand(false);
+    sim_.RunFor(DurationUpTo(kMaxDemandPause));
+    Log("requests again");
+    sim_.SetDemand(true);
+  }
+
   void ChangeCallerRate() {
     constexpr double kFactors[] = {0, 0.2, 1, 4};
     const double rate = kRequestsPerS * kFactors[UpTo(3)];
