Keep what a probe says of a cold server when a record arrives

Servers saw: a cold server got requests up to its slots from each instance, 36 in a second from one instance whose part of the limit is 4, once a record that was written before it turned cold arrived after the probe that reported it. Callers saw the opposite, a warm server that was limited again, when the same record was applied twice.

Cause: ColdWindow had one end of the cold phase, and the report that came last replaced it. A probe's response is the server's state at that moment; a record carries no time and can be seconds old.

Now each source has its own end. A probe replaces both. A record replaces that of earlier records and can lengthen, but not shorten, what a probe said, so an old "warm" cannot end a phase. ServerRecord has the revision at which it was written, and a record with the revision that was applied last leaves the cold state alone.

The store's copy itself does not repeat an item at a known revision, so the second fault was shown at RegistryApplier only, not with a whole feed.

--- a/src/process/io/registry_applier.cc
+++ b/src/process/io/registry_applier.cc
@@ -108,6 +108,7 @@
   std::vector<Fault> faults;
   if (const auto* record = std::get_if<ServerRecord>(&decoded)) {
     changes.records.push_back(*record);
+    changes.records.back().revision = item.revision;
   } else if (const auto* removed = std::get_if<RemovedServer>(&decoded)) {
     changes.removed.push_back(removed->id);
     faults = removed->faults;
--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -7,19 +7,34 @@
 
 constexpr Duration kRateWindow = std::chrono::seconds(1);
 
-}  // namespace
+TimePoint EndOf(const ColdWindow& window) {
+  return std::max(window.until_by_probe, window.until_by_record);
+}
 
-void SetColdFor(ColdWindow& window, Duration remaining, TimePoint now) {
+void BeginUnlessCold(ColdWindow& window, TimePoint now) {
   if (!IsCold(window, now))
     window.began = now;
-  if (remaining > Duration::zero())
-    window.until = now + remaining;
-  else
-    window.until = std::min(window.until, now);
+}
+
+}  // namespace
+
+void SetColdByProbe(ColdWindow& window, Duration remaining, TimePoint now) {
+  BeginUnlessCold(window, now);
+  window.until_by_probe = now + remaining;
+  window.until_by_record = TimePoint();
+}
+
+// A record does not say when it was written, which can be seconds ago. If it
+// names a cold phase, the server is treated as cold even if a probe found it
+// warm before: a flooded server crashes, while one that is limited by mistake
+// gets less work until the next probe.
+void SetColdByRecord(ColdWindow& window, Duration remaining, TimePoint now) {
+  BeginUnlessCold(window, now);
+  window.until_by_record = now + remaining;
 }
 
 bool IsCold(const ColdWindow& window, TimePoint now) {
-  return now < window.until;
+  return now < EndOf(window);
 }
 
 // The instances of a large fleet have less than one request a second each. If
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -12,14 +12,26 @@
 struct ColdWindow {
   /** When this instance learned that the server is cold. */
   TimePoint began{};
-  TimePoint until{};
+  /** End of the cold phase according to the latest probe. */
+  TimePoint until_by_probe{};
+  /** The same, according to the latest record that came after that probe. */
+  TimePoint until_by_record{};
   /** Times of the requests sent in the last second while it was cold. */
   std::deque<TimePoint> sent;
   std::optional<TimePoint> last_sent;
 };
 
-/** Records that the server stays cold for `remaining`; zero ends the phase. */
-void SetColdFor(ColdWindow& window, Duration remaining, TimePoint now);
+/**
+ * Records that the server answered a probe with this remaining time, which
+ * replaces everything known before. Zero ends the phase.
+ */
+void SetColdByProbe(ColdWindow& window, Duration remaining, TimePoint now);
+
+/**
+ * Records the remaining time in a newly written record. It replaces that of an
+ * earlier record, and can lengthen, but not shorten, what a probe reported.
+ */
+void SetColdByRecord(ColdWindow& window, Duration remaining, TimePoint now);
 
 bool IsCold(const ColdWindow& window, TimePoint now);
 
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -358,7 +358,7 @@
                           TimePoint now) {
   server.probe_in_flight = false;
   if (result.cold_remaining)
-    SetColdFor(server.cold_window, *result.cold_remaining, now);
+    SetColdByProbe(server.cold_window, *result.cold_remaining, now);
   if (!result.answered || result.other_server) {
     const int doublings =
         std::min(server.unanswered_probes++, kMaxProbeBackOffDoublings);
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -72,6 +72,8 @@
 
   bool discovered = false;
   int64_t incarnation = 0;
+  /** ServerRecord::revision of the record that was applied last. */
+  uint64_t record_revision = 0;
   bool record_is_draining = false;
   ColdWindow cold_window;
   LoadEstimate load_estimate;
--- a/src/process/servers/server_record.h
+++ b/src/process/servers/server_record.h
@@ -23,6 +23,8 @@
   Duration cold_remaining{};
   /** Distinguishes the restarts of a server that keeps its id. */
   int64_t incarnation = 0;
+  /** Revision of the store at which it was written; 0 if that is not known. */
+  uint64_t revision = 0;
 };
 
 }  // namespace mangodoor
--- a/tests/registry/registry_applier_test.cc
+++ b/tests/registry/registry_applier_test.cc
@@ -100,5 +100,37 @@
   EXPECT_EQ(feed_.entries_refused, 100U);
 }
 
+/** Decodes every item as the record of a server that is cold for 3 s. */
+DecodedItem DecodeColdServer(const StoreItem& item, WallTime) {
+  ServerRecord record;
+  record.id = BackendServerId(item.key);
+  record.service = ServiceId("work");
+  record.cold_remaining = std::chrono::seconds(3);
+  return record;
+}
+
+// Guards against a warm server that turns cold in the view of an instance each
+// time that its record is read again.
+TEST_F(RegistryApplierTest, RecordReadAgainDoesNotReplaceAProbe) {
+  RegistryApplier applier(tables_, feed_, clock_, actions_, self_,
+                          DecodeColdServer);
+  const auto is_cold = [this] {
+    return IsCold(
+        FindServer(tables_.servers.pool, BackendServerId("a"))->cold_window,
+        clock_.Now());
+  };
+  applier.Apply({Item("a", "", 5)});
+  ASSERT_TRUE(is_cold());
+  ProbeResult warm;
+  warm.answered = true;
+  warm.cold_remaining = Duration::zero();
+  HandleProbeResult(tables_.servers, BackendServerId("a"), warm, clock_.Now());
+  ASSERT_FALSE(is_cold());
+  applier.Apply({Item("a", "", 5)});
+  EXPECT_FALSE(is_cold());
+  applier.Apply({Item("a", "", 6)});
+  EXPECT_TRUE(is_cold());
+}
+
 }  // namespace
 }  // namespace mangodoor
--- a/tests/routing/instance_shares_test.cc
+++ b/tests/routing/instance_shares_test.cc
@@ -63,7 +63,7 @@
   const TimePoint start{std::chrono::hours(1)};
   std::vector<ColdWindow> windows(kInstances);
   for (ColdWindow& window : windows)
-    SetColdFor(window, std::chrono::seconds(20), start);
+    SetColdByProbe(window, std::chrono::seconds(20), start);
   std::deque<TimePoint> sent;
   int all = 0;
   for (milliseconds t{0}; t < std::chrono::seconds(20); t += milliseconds(10)) {
