Count requests before the news against a cold server's limit

Servers saw: an instance that had just sent requests to a server sent its whole part of the limit again right after it learnt that the server is cold: 7 in one second with a part of 4. The rule counts all requests that arrive in a second.

Cause: RecordSent kept nothing while the server was believed warm.

Now the requests of the last second are kept for a warm server, too, at most 64 of 8 bytes each. With a part below one request a second, nothing is sent while one of the last second is known; the interval still counts from requests to the cold server only.

What was sent before a restart of the instance is still unknown to it.

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -7,6 +7,10 @@
 
 constexpr Duration kRateWindow = std::chrono::seconds(1);
 
+// Bounds the memory for each server. Earlier requests to a warm server do not
+// count when it turns cold, which matters only for parts above this limit.
+constexpr size_t kMaxSentWhileWarm = 64;
+
 TimePoint EndOf(const ColdWindow& window) {
   return std::max(window.until_by_probe, window.until_by_record);
 }
@@ -16,6 +20,13 @@
     window.began = now;
 }
 
+int SentRecently(const ColdWindow& window, TimePoint now) {
+  const auto recent =
+      std::count_if(window.sent.begin(), window.sent.end(),
+                    [now](TimePoint sent) { return now - sent < kRateWindow; });
+  return static_cast<int>(recent);
+}
+
 }  // namespace
 
 void SetColdByProbe(ColdWindow& window, Duration remaining, TimePoint now) {
@@ -45,28 +56,31 @@
                  TimePoint now) {
   if (limit.rate_per_s <= 0 || !IsCold(window, now))
     return true;
-  if (limit.rate_per_s < 1) {
-    const std::chrono::duration<double> interval(1 / limit.rate_per_s);
-    const auto earliest =
-        window.last_sent
-            ? *window.last_sent + std::chrono::duration_cast<Duration>(interval)
-            : window.began +
-                  std::chrono::duration_cast<Duration>(interval * limit.phase);
-    return now >= earliest;
-  }
-  const auto recent =
-      std::count_if(window.sent.begin(), window.sent.end(),
-                    [now](TimePoint sent) { return now - sent < kRateWindow; });
-  return recent < static_cast<int>(limit.rate_per_s);
+  const int recent = SentRecently(window, now);
+  if (limit.rate_per_s >= 1)
+    return recent < static_cast<int>(limit.rate_per_s);
+  if (recent > 0)
+    return false;
+  const std::chrono::duration<double> interval(1 / limit.rate_per_s);
+  const auto earliest =
+      window.last_sent
+          ? *window.last_sent + std::chrono::duration_cast<Duration>(interval)
+          : window.began +
+                std::chrono::duration_cast<Duration>(interval * limit.phase);
+  return now >= earliest;
 }
 
+// Requests to a warm server are kept, too: if it turns cold, those that it got
+// in the same second count against its limit.
 void RecordSent(ColdWindow& window, TimePoint now) {
-  while (!window.sent.empty() && now - window.sent.front() >= kRateWindow)
+  const bool cold = IsCold(window, now);
+  while (!window.sent.empty() &&
+         (now - window.sent.front() >= kRateWindow ||
+          (!cold && window.sent.size() >= kMaxSentWhileWarm)))
     window.sent.pop_front();
-  if (!IsCold(window, now))
-    return;
   window.sent.push_back(now);
-  window.last_sent = now;
+  if (cold)
+    window.last_sent = now;
 }
 
 }  // namespace mangodoor
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -16,8 +16,9 @@
   TimePoint until_by_probe{};
   /** The same, according to the latest record that came after that probe. */
   TimePoint until_by_record{};
-  /** Times of the requests sent in the last second while it was cold. */
+  /** Times of the requests sent in the last second; a part of them if warm. */
   std::deque<TimePoint> sent;
+  /** Time of the latest request that was sent while it was cold. */
   std::optional<TimePoint> last_sent;
 };
 
@@ -51,7 +52,7 @@
                  const ColdLimit& limit,
                  TimePoint now);
 
-/** Records a request sent at `now`, if the server is cold. */
+/** Records a request sent at `now`. */
 void RecordSent(ColdWindow& window, TimePoint now);
 
 }  // namespace mangodoor
--- a/tests/routing/cold_reports_test.cc
+++ b/tests/routing/cold_reports_test.cc
@@ -211,6 +211,19 @@
   EXPECT_FALSE(KnownCold());
 }
 
+// Guards against a server that gets a second's share again from an instance
+// that has just sent it requests, when it turns cold.
+TEST_F(ColdReportsTest, RequestsBeforeTheNewsCountAgainstTheLimit) {
+  Apply(Record(1));
+  ASSERT_EQ(SendFor(milliseconds(10)), kSlots);
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  SendFor(seconds(3));
+  EXPECT_LE(BusiestSecond(), kOwnColdRatePerS);
+  // The limit is used nonetheless.
+  EXPECT_GE(sent_.size(), 3U * kOwnColdRatePerS);
+}
+
 // Guards against the state of an ended server being taken for that of the one
 // that was started under its id.
 TEST_F(ColdReportsTest, NewIncarnationHasItsOwnColdState) {
