Keep the cold window of a server whose entry lapses and comes back

Cause: ResetEntry dropped the cold window together with everything else, and an entry without outstanding requests was erased when it was removed.

Now an entry of the same incarnation keeps its window. When an entry is erased while its server is cold, or got requests in the last second, the window stays in ServerPool::former_servers for as long as that is the case, at most a minute. A new incarnation under the same id starts with an empty window.

Evidence, the tests of this commit on the code before it:

cold_reports_test.cc:241: Failure Expected: (BusiestSecond()) <= (kOwnColdRatePerS), actual: 8 vs 4 [ FAILED ] ColdReportsTest.EntryThatComesBackKeepsItsColdState cold_reports_test.cc:259: Failure Expected: (BusiestSecond()) <= (kOwnColdRatePerS), actual: 36 vs 4 [ FAILED ] ColdReportsTest.EntryInUseKeepsItsColdState

StateOfRemovedServersIsDropped guards the bound on the memory.

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -48,6 +48,10 @@
   return now < EndOf(window);
 }
 
+bool IsRelevant(const ColdWindow& window, TimePoint now) {
+  return IsCold(window, now) || SentRecently(window, now) > 0;
+}
+
 // The instances of a large fleet have less than one request a second each. If
 // all of them sent the first one at once, they would exceed the limit of the
 // server together, so that their phases differ.
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -36,6 +36,9 @@
 
 bool IsCold(const ColdWindow& window, TimePoint now);
 
+/** True if the window limits requests to a server that is, or turns, cold. */
+bool IsRelevant(const ColdWindow& window, TimePoint now);
+
 /** This instance's part of the requests that a cold server may get. */
 struct ColdLimit {
   /** 0 means no limit. */
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -1,10 +1,14 @@
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "process/servers/server_pool.h"
 
 namespace mangodoor {
 namespace {
 
+constexpr Duration kFormerServerKept = std::chrono::minutes(1);
+
 /** Resets everything but the outstanding requests and their start times. */
 void ResetEntry(ServerEntry& entry) {
   const int outstanding = entry.outstanding;
@@ -37,6 +41,36 @@
     servers.push_back(&entry);
 }
 
+void DropOutdatedFormerServers(ServerPool& pool, TimePoint now) {
+  auto& former = pool.former_servers;
+  for (auto it = former.begin(); it != former.end();) {
+    const bool outdated = now - it->second.removed_at >= kFormerServerKept ||
+                          !IsRelevant(it->second.cold_window, now);
+    it = outdated ? former.erase(it) : std::next(it);
+  }
+}
+
+/**
+ * Removes and returns the known cold window of the server that the record
+ * describes; an empty one for a new server or incarnation.
+ */
+ColdWindow TakeColdWindow(ServerPool& pool,
+                          ServerEntry& entry,
+                          const ServerRecord& record) {
+  if (entry.id == record.id)
+    return entry.incarnation == record.incarnation
+               ? std::move(entry.cold_window)
+               : ColdWindow();
+  const auto found = pool.former_servers.find(record.id);
+  if (found == pool.former_servers.end())
+    return {};
+  FormerServer former = std::move(found->second);
+  pool.former_servers.erase(found);
+  return former.incarnation == record.incarnation
+             ? std::move(former.cold_window)
+             : ColdWindow();
+}
+
 void ApplyRecord(ServerPool& pool, const ServerRecord& record, TimePoint now) {
   ServerEntry& entry = pool.servers[record.id];
   const bool is_new = entry.id.empty() || !entry.listed ||
@@ -44,8 +78,10 @@
                       entry.endpoint != record.endpoint ||
                       entry.service != record.service;
   if (is_new) {
+    ColdWindow cold_window = TakeColdWindow(pool, entry, record);
     RemoveFromService(pool, entry);
     ResetEntry(entry);
+    entry.cold_window = std::move(cold_window);
   }
   entry.id = record.id;
   entry.discovered = true;
@@ -100,7 +136,7 @@
     RemoveFromService(pool, *entry);
     entry->listed = false;
     if (entry->outstanding == 0)
-      pool.servers.erase(id);
+      EraseServer(pool, id, now);
   }
   ServeAllQueues(pool, now);
   ServerActions actions;
@@ -108,6 +144,17 @@
   return actions;
 }
 
+void EraseServer(ServerPool& pool, const BackendServerId& id, TimePoint now) {
+  DropOutdatedFormerServers(pool, now);
+  const auto found = pool.servers.find(id);
+  if (found == pool.servers.end())
+    return;
+  const ServerEntry& entry = found->second;
+  if (entry.discovered && IsRelevant(entry.cold_window, now))
+    pool.former_servers[id] = {entry.incarnation, entry.cold_window, now};
+  pool.servers.erase(found);
+}
+
 ServerActions SetDataCentreOut(ServerPool& pool,
                                const DataCentreId& data_centre,
                                bool out,
--- a/src/process/servers/server_feedback.cc
+++ b/src/process/servers/server_feedback.cc
@@ -347,7 +347,7 @@
   EndOutstanding(*server, now - result.latency);
   if (!server->listed) {
     if (server->outstanding == 0)
-      pool.servers.erase(id);
+      EraseServer(pool, id, now);
     return actions;
   }
   ServiceEntry* const found_service = FindService(pool, server->service);
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -87,6 +87,13 @@
   int unanswered_probes = 0;
 };
 
+/** What is kept for a while of a removed server that had registered itself. */
+struct FormerServer {
+  int64_t incarnation = 0;
+  ColdWindow cold_window;
+  TimePoint removed_at{};
+};
+
 /** State of one service, as known to this instance. */
 struct ServiceEntry {
   ServiceId id;
@@ -123,6 +130,8 @@
 struct ServerPool {
   std::unordered_map<BackendServerId, ServerEntry> servers;
   std::unordered_map<ServiceId, ServiceEntry> services;
+  /** Entries of cold or recently used servers can lapse and come back. */
+  std::unordered_map<BackendServerId, FormerServer> former_servers;
   std::unordered_map<ClientAccountId, int> account_weights;
   DataCentreId own_data_centre;
   /** Taken out of service by an operator's command, not by the version. */
@@ -156,6 +165,12 @@
                         const ServerEntry& server,
                         TimePoint now);
 
+/**
+ * Erases the entry of a server that is not listed and has no outstanding
+ * requests. Keeps its cold window, in case the server comes back.
+ */
+void EraseServer(ServerPool& pool, const BackendServerId& id, TimePoint now);
+
 /** Applies the settings of a service whose servers register themselves. */
 void ApplyDiscoveredService(ServerPool& pool,
                             ServiceEntry& service,
--- a/tests/routing/cold_reports_test.cc
+++ b/tests/routing/cold_reports_test.cc
@@ -224,6 +224,64 @@
   EXPECT_GE(sent_.size(), 3U * kOwnColdRatePerS);
 }
 
+// Guards against a cold server whose entry lapses and comes back: it got a
+// second's share again, and counted as warm.
+TEST_F(ColdReportsTest, EntryThatComesBackKeepsItsColdState) {
+  Apply(Record(1));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  SendFor(milliseconds(500));
+  Remove();
+  // Its requests end while it is not listed.
+  SendFor(milliseconds(200));
+  ASSERT_EQ(FindServer(pool_, cold_server), nullptr);
+  Apply(Record(2));
+  EXPECT_TRUE(KnownCold());
+  SendFor(seconds(1));
+  EXPECT_LE(BusiestSecond(), kOwnColdRatePerS);
+}
+
+// The same for an entry that comes back while requests are running.
+TEST_F(ColdReportsTest, EntryInUseKeepsItsColdState) {
+  Apply(Record(1));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  SendFor(milliseconds(10));
+  ASSERT_GT(FindServer(pool_, cold_server)->outstanding, 0);
+  Remove();
+  Apply(Record(2));
+  EXPECT_TRUE(KnownCold());
+  ServerRecord moved = Record(3);
+  moved.endpoint.port = 81;
+  Apply(moved);
+  EXPECT_TRUE(KnownCold());
+  SendFor(seconds(1));
+  EXPECT_LE(BusiestSecond(), kOwnColdRatePerS);
+}
+
+// Guards against memory for each server that was ever removed.
+TEST_F(ColdReportsTest, StateOfRemovedServersIsDropped) {
+  constexpr int kServers = 200;
+  for (int i = 0; i < kServers; ++i) {
+    ServerRecord record = Record(1, i % 2 == 0 ? seconds(3) : seconds(0));
+    record.id = BackendServerId("former" + std::to_string(i));
+    Apply(record);
+    ApplyRecords(pool_, {}, {record.id}, now_);
+  }
+  EXPECT_EQ(pool_.former_servers.size(), kServers / 2U);
+  now_ += seconds(3);
+  Apply(Record(1, std::chrono::hours(1)));
+  Remove();
+  EXPECT_EQ(pool_.former_servers.size(), 1U);
+  now_ += std::chrono::minutes(2);
+  ServerRecord other = Record(2, seconds(3));
+  other.id = BackendServerId("i2");
+  Apply(other);
+  ApplyRecords(pool_, {}, {other.id}, now_);
+  EXPECT_EQ(pool_.former_servers.count(other.id), 1U);
+  EXPECT_EQ(pool_.former_servers.count(cold_server), 0U);
+}
+
 // Guards against the state of an ended server being taken for that of the one
 // that was started under its id.
 TEST_F(ColdReportsTest, NewIncarnationHasItsOwnColdState) {
@@ -234,6 +292,11 @@
   restarted.incarnation = 2;
   Apply(restarted);
   EXPECT_FALSE(KnownCold());
+  Probe();
+  Remove();
+  restarted.incarnation = 3;
+  Apply(restarted);
+  EXPECT_FALSE(KnownCold());
 }
 
 }  // namespace
