Spread the first requests in each cold phase of a server

Servers saw: a server that turned cold again got one request from nearly every instance at once: 24 of 24 in the test, 12.8 are allowed.

Cause: with a part below one request a second, the first request of an instance waits for its phase only if it had never sent one to the server while that was cold.

Now the phase counts from the start of each cold phase, and the interval from the last request, whichever ends later.

Evidence, the test of this commit on the code before it:

cold_window_test.cc:54: Failure Expected: (recent) <= (kAllowedInOneSecond), actual: 24 vs 12.8 40000 [ FAILED ] ColdWindowTest.InstancesAreSpreadInEachColdPhase

The first cold phase of the test, 0 to 20 s, passed before, too.

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -53,8 +53,8 @@
 }
 
 // The instances of a large fleet have less than one request a second each. If
-// all of them sent the first one at once, they would exceed the limit of the
-// server together, so that their phases differ.
+// all of them sent the first one of a cold phase at once, they would exceed the
+// limit of the server together, so that their phases differ.
 bool MaySendCold(const ColdWindow& window,
                  const ColdLimit& limit,
                  TimePoint now) {
@@ -66,11 +66,12 @@
   if (recent > 0)
     return false;
   const std::chrono::duration<double> interval(1 / limit.rate_per_s);
-  const auto earliest =
-      window.last_sent
-          ? *window.last_sent + std::chrono::duration_cast<Duration>(interval)
-          : window.began +
-                std::chrono::duration_cast<Duration>(interval * limit.phase);
+  TimePoint earliest = window.began + std::chrono::duration_cast<Duration>(
+                                          interval * limit.phase);
+  if (window.last_sent)
+    earliest =
+        std::max(earliest, *window.last_sent +
+                               std::chrono::duration_cast<Duration>(interval));
   return now >= earliest;
 }
 
--- a/tests/routing/cold_window_test.cc
+++ b/tests/routing/cold_window_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace mangodoor {
@@ -23,6 +24,39 @@
   EXPECT_TRUE(MaySendCold(window, limit, kStart + seconds(1)));
 }
 
+// Guards against a server that turns cold again, and gets the first requests of
+// all instances at once (24 in a second, 12.8 are allowed): each instance had
+// sent its last one longer ago than its interval.
+TEST(ColdWindowTest, InstancesAreSpreadInEachColdPhase) {
+  constexpr int kInstances = 24;
+  constexpr double kColdPerS = 3.2;
+  constexpr double kAllowedInOneSecond = kColdPerS * 1.5 + 8;
+  constexpr seconds kPhase{20};
+  std::vector<ColdWindow> windows(kInstances);
+  std::vector<TimePoint> sent;
+  for (milliseconds t{0}; t < 3 * kPhase; t += milliseconds(10)) {
+    const TimePoint now = kStart + t;
+    if (t == milliseconds(0) || t == 2 * kPhase) {
+      for (ColdWindow& window : windows)
+        SetColdByProbe(window, kPhase, now);
+    }
+    for (int i = 0; i < kInstances; ++i) {
+      ColdWindow& window = windows.at(static_cast<size_t>(i));
+      const ColdLimit limit{kColdPerS / kInstances, i / double{kInstances}};
+      if (!IsCold(window, now) || !MaySendCold(window, limit, now))
+        continue;
+      RecordSent(window, now);
+      sent.push_back(now);
+    }
+    const auto recent =
+        std::count_if(sent.begin(), sent.end(),
+                      [now](TimePoint at) { return now - at < seconds(1); });
+    ASSERT_LE(recent, kAllowedInOneSecond) << t.count();
+  }
+  // The server is used nonetheless.
+  EXPECT_GT(sent.size(), 2 * kPhase.count() * kColdPerS * 0.9);
+}
+
 // Guards against memory for each request that a warm server gets.
 TEST(ColdWindowTest, MemoryIsBoundedWhileWarm) {
   ColdWindow window;
