Check the limit of a cold server again before sending

Servers saw: requests that were placed while a server was warm were sent after it had turned cold, whatever its limit, by an instance of another data centre as well. After that, it got less than its limit if placed requests were not sent.

Cause: MayStillSend looked at coldness only for servers that a version names, and nothing took a request that was not sent out of the count.

Now a request to a cold server is sent only if this instance may serve the server while it is cold, and all requests of the last second, which include this one, are within its part. With a part below one a second, only a request that was placed in this cold phase is sent: the others have not waited for their turn. One that is not sent ends as unused, is removed from the count, so that the rest may be sent, and is placed again. Nothing is counted twice: the count is that of the placement.

Evidence, the tests of this commit on the code before it:

cold_reports_test.cc:280: MayStillSend(...), Actual: true, Expected: false [ FAILED ] ColdReportsTest.PlacedRequestsBeyondTheLimitAreNotSent cold_reports_test.cc:297: MayStillSend(...), Actual: true, Expected: false [ FAILED ] ColdReportsTest.PlacedRequestIsNotSentBeforeItsTurn cold_reports_test.cc:317: MayStillSend(...), Actual: true, Expected: false [ FAILED ] ColdReportsTest.PlacedRequestIsNotSentToAnotherDataCentre cold_reports_test.cc:328: SendFor(milliseconds(500)): 1 vs 4 [ FAILED ] ColdReportsTest.UnsentRequestDoesNotCountAgainstTheLimit

Not covered: a request that waited longer than a second for a connection has left the count and can be one too many. The server of a request that was not sent counts as tried, so that a service without another one refuses it.

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -1,6 +1,7 @@
 #include "process/servers/cold_window.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mangodoor {
 namespace {
@@ -75,6 +76,21 @@
   return now >= earliest;
 }
 
+// RecordSent() has counted the request. If the server turned cold meanwhile,
+// more can be recorded than the limit allows. Each one that is not sent is
+// removed, so that the rest may be sent once they are within the limit. With
+// less than one request a second, only one that was placed during the cold
+// phase has waited for its turn.
+bool MayStillSendCold(const ColdWindow& window,
+                      const ColdLimit& limit,
+                      TimePoint now) {
+  if (limit.rate_per_s <= 0 || !IsCold(window, now))
+    return true;
+  if (limit.rate_per_s < 1)
+    return window.last_sent && *window.last_sent >= window.began;
+  return SentRecently(window, now) <= static_cast<int>(limit.rate_per_s);
+}
+
 // Requests to a warm server are kept, too: if it turns cold, those that it got
 // in the same second count against its limit.
 void RecordSent(ColdWindow& window, TimePoint now) {
@@ -88,4 +104,15 @@
     window.last_sent = now;
 }
 
+void RemoveUnsent(ColdWindow& window, TimePoint at) {
+  const auto after =
+      std::upper_bound(window.sent.begin(), window.sent.end(), at);
+  if (after == window.sent.begin())
+    return;
+  const auto unsent = std::prev(after);
+  if (window.last_sent == *unsent)
+    window.last_sent.reset();
+  window.sent.erase(unsent);
+}
+
 }  // namespace mangodoor
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -55,9 +55,20 @@
                  const ColdLimit& limit,
                  TimePoint now);
 
-/** Records a request sent at `now`. */
+/**
+ * True if a request that was recorded by RecordSent(), perhaps before the
+ * server turned cold, may still be sent.
+ */
+bool MayStillSendCold(const ColdWindow& window,
+                      const ColdLimit& limit,
+                      TimePoint now);
+
+/** Records a request that is sent to the server, at `now` or soon after. */
 void RecordSent(ColdWindow& window, TimePoint now);
 
+/** Removes the latest request recorded up to `at`, since it was not sent. */
+void RemoveUnsent(ColdWindow& window, TimePoint at);
+
 }  // namespace mangodoor
 
 #endif  // PROCESS_SERVERS_COLD_WINDOW_H_
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -100,20 +100,33 @@
   AddToService(pool, entry);
 }
 
+/**
+ * Instances of other data centres send nothing to a cold server, unless its
+ * data centre has no instance.
+ */
+bool MayServeWhileCold(const ServerPool& pool, const ServerEntry& server) {
+  return server.own_data_centre ||
+         !HasInstance(pool.shares, server.data_centre);
+}
+
 /**
  * The rate limit of a cold server is divided among the instances of its data
- * centre. Instances of other data centres send nothing to it, unless its data
- * centre has no instance.
+ * centre.
  */
+ColdLimit ColdLimitOf(const ServerPool& pool,
+                      const ServiceEntry& service,
+                      const ServerEntry& server) {
+  return {service.cold_rate_per_s * OwnShare(pool.shares, server.data_centre),
+          pool.shares.phase};
+}
+
 bool MaySendToCold(const ServerPool& pool,
                    const ServiceEntry& service,
                    const ServerEntry& server,
                    TimePoint now) {
-  if (!server.own_data_centre && HasInstance(pool.shares, server.data_centre))
-    return false;
-  const double rate_per_s =
-      service.cold_rate_per_s * OwnShare(pool.shares, server.data_centre);
-  return MaySendCold(server.cold_window, {rate_per_s, pool.shares.phase}, now);
+  return MayServeWhileCold(pool, server) &&
+         MaySendCold(server.cold_window, ColdLimitOf(pool, service, server),
+                     now);
 }
 
 void ServeAllQueues(ServerPool& pool, TimePoint now) {
@@ -214,6 +227,19 @@
       [](const ServerEntry* a, const ServerEntry* b) { return a->id < b->id; });
 }
 
+bool DiscoveredMayStillSend(const ServerPool& pool,
+                            const ServerEntry& server,
+                            TimePoint now) {
+  if (!IsUsable(server, now))
+    return false;
+  const auto service = pool.services.find(server.service);
+  if (service == pool.services.end() || !IsCold(server.cold_window, now))
+    return true;
+  return MayServeWhileCold(pool, server) &&
+         MayStillSendCold(server.cold_window,
+                          ColdLimitOf(pool, service->second, server), now);
+}
+
 int DiscoveredAllowance(const ServerPool& pool,
                         const ServiceEntry& service,
                         const ServerEntry& server,
--- a/src/process/servers/server_feedback.cc
+++ b/src/process/servers/server_feedback.cc
@@ -344,7 +344,10 @@
   ServerEntry* server = FindServer(pool, id);
   if (!server)
     return actions;
-  EndOutstanding(*server, now - result.latency);
+  const TimePoint start = now - result.latency;
+  EndOutstanding(*server, start);
+  if (result.end == End::kUnused)
+    RemoveUnsent(server->cold_window, start);
   if (!server->listed) {
     if (server->outstanding == 0)
       EraseServer(pool, id, now);
--- a/src/process/servers/server_pool.cc
+++ b/src/process/servers/server_pool.cc
@@ -154,7 +154,7 @@
     return false;
   const ServerEntry& entry = found->second;
   if (entry.discovered)
-    return IsUsable(entry, now);
+    return DiscoveredMayStillSend(pool, entry, now);
   // When a warm server becomes cold, more requests can be outstanding than it
   // may now get. Those not sent yet are released until the rest are within the
   // allowance.
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -165,6 +165,11 @@
                         const ServerEntry& server,
                         TimePoint now);
 
+/** As MayStillSend(), for a server that registers itself. */
+bool DiscoveredMayStillSend(const ServerPool& pool,
+                            const ServerEntry& server,
+                            TimePoint now);
+
 /**
  * Erases the entry of a server that is not listed and has no outstanding
  * requests. Keeps its cold window, in case the server comes back.
--- a/tests/routing/cold_reports_test.cc
+++ b/tests/routing/cold_reports_test.cc
@@ -86,6 +86,15 @@
     return static_cast<int>(sent_.size() - before);
   }
 
+  /** Ends the reservation of the latest request; it was not sent. */
+  void ReleaseUnused() {
+    AttemptResult result;
+    result.latency = now_ - running_.back();
+    sent_.pop_back();
+    running_.pop_back();
+    Run(ReleaseServer(pool_, cold_server, result, now_));
+  }
+
   /** Most requests sent within one second. */
   int BusiestSecond() const {
     int most = 0;
@@ -259,6 +268,66 @@
   EXPECT_LE(BusiestSecond(), kOwnColdRatePerS);
 }
 
+// Guards against requests that are sent although their server turned cold after
+// they were placed, and are more than its limit.
+TEST_F(ColdReportsTest, PlacedRequestsBeyondTheLimitAreNotSent) {
+  pool_.shares.instances = {{here, 6}};
+  Apply(Record(1));
+  ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
+  EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  EXPECT_FALSE(MayStillSend(pool_, cold_server, now_));
+  ReleaseUnused();
+  // Two of the three are within the limit.
+  EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
+  EXPECT_EQ(SendFor(milliseconds(900)), 0);
+}
+
+// The same for an instance whose part is below one request a second. Its first
+// request has to wait for its turn.
+TEST_F(ColdReportsTest, PlacedRequestIsNotSentBeforeItsTurn) {
+  pool_.shares.instances = {{here, 24}};
+  pool_.shares.phase = 0.9;
+  Apply(Record(1));
+  ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  for (int i = 0; i < kSlots; ++i) {
+    EXPECT_FALSE(MayStillSend(pool_, cold_server, now_));
+    ReleaseUnused();
+  }
+  EXPECT_EQ(SendFor(milliseconds(1700)), 0);
+  EXPECT_EQ(SendFor(milliseconds(200)), 1);
+  EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
+}
+
+// Guards against a request that is sent to a server of another data centre
+// after that has turned cold.
+TEST_F(ColdReportsTest, PlacedRequestIsNotSentToAnotherDataCentre) {
+  const DataCentreId there("there");
+  pool_.shares.instances = {{here, 3}, {there, 3}};
+  ServerRecord remote = Record(1);
+  remote.data_centre = there;
+  Apply(remote);
+  ASSERT_GE(SendFor(milliseconds(1)), 1);
+  EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  EXPECT_FALSE(MayStillSend(pool_, cold_server, now_));
+}
+
+// Guards against a cold server that gets less than its limit because requests
+// were placed on it, but not sent.
+TEST_F(ColdReportsTest, UnsentRequestDoesNotCountAgainstTheLimit) {
+  Apply(Record(1, seconds(60)));
+  cold_until_ = now_ + seconds(60);
+  ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
+  for (int i = 0; i < kSlots; ++i)
+    ReleaseUnused();
+  EXPECT_EQ(SendFor(milliseconds(500)), kOwnColdRatePerS);
+}
+
 // Guards against memory for each server that was ever removed.
 TEST_F(ColdReportsTest, StateOfRemovedServersIsDropped) {
   constexpr int kServers = 200;
--- a/tests/routing/cold_window_test.cc
+++ b/tests/routing/cold_window_test.cc
@@ -57,6 +57,18 @@
   EXPECT_GT(sent.size(), 2 * kPhase.count() * kColdPerS * 0.9);
 }
 
+// Guards against a sent request that is no longer counted because an older one,
+// which has left the second, was not sent.
+TEST(ColdWindowTest, UnsentRequestOfAnEarlierSecondRemovesNothing) {
+  ColdWindow window;
+  RecordSent(window, kStart);
+  RecordSent(window, kStart + seconds(2));
+  RemoveUnsent(window, kStart + milliseconds(1));
+  EXPECT_EQ(window.sent.size(), 1U);
+  RemoveUnsent(window, kStart + milliseconds(2001));
+  EXPECT_EQ(window.sent.size(), 0U);
+}
+
 // Guards against memory for each request that a warm server gets.
 TEST(ColdWindowTest, MemoryIsBoundedWhileWarm) {
   ColdWindow window;
