--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -1,6 +1,7 @@
 #include "process/servers/cold_window.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mangodoor {
 namespace {
@@ -48,9 +49,13 @@
   return now < EndOf(window);
 }
 
+bool IsRelevant(const ColdWindow& window, TimePoint now) {
+  return IsCold(window, now) || SentRecently(window, now) > 0;
+}
+
 // The instances of a large fleet have less than one request a second each. If
-// all of them sent the first one at once, they would exceed the limit of the
-// server together, so that their phases differ.
+// all of them sent the first one of a cold phase at once, they would exceed the
+// limit of the server together, so that their phases differ.
 bool MaySendCold(const ColdWindow& window,
                  const ColdLimit& limit,
                  TimePoint now) {
@@ -62,14 +67,30 @@
   if (recent > 0)
     return false;
   const std::chrono::duration<double> interval(1 / limit.rate_per_s);
-  const auto earliest =
-      window.last_sent
-          ? *window.last_sent + std::chrono::duration_cast<Duration>(interval)
-          : window.began +
-                std::chrono::duration_cast<Duration>(interval * limit.phase);
+  TimePoint earliest = window.began + std::chrono::duration_cast<Duration>(
+                                          interval * limit.phase);
+  if (window.last_sent)
+    earliest =
+        std::max(earliest, *window.last_sent +
+                               std::chrono::duration_cast<Duration>(interval));
   return now >= earliest;
 }
 
+// RecordSent() has counted the request. If the server turned cold meanwhile,
+// more can be recorded than the limit allows. Each one that is not sent is
+// removed, so that the rest may be sent once they are within the limit. With
+// less than one request a second, only one that was placed during the cold
+// phase has waited for its turn.
+bool MayStillSendCold(const ColdWindow& window,
+                      const ColdLimit& limit,
+                      TimePoint now) {
+  if (limit.rate_per_s <= 0 || !IsCold(window, now))
+    return true;
+  if (limit.rate_per_s < 1)
+    return window.last_sent && *window.last_sent >= window.began;
+  return SentRecently(window, now) <= static_cast<int>(limit.rate_per_s);
+}
+
 // Requests to a warm server are kept, too: if it turns cold, those that it got
 // in the same second count against its limit.
 void RecordSent(ColdWindow& window, TimePoint now) {
@@ -83,4 +104,15 @@
     window.last_sent = now;
 }
 
+void RemoveUnsent(ColdWindow& window, TimePoint at) {
+  const auto after =
+      std::upper_bound(window.sent.begin(), window.sent.end(), at);
+  if (after == window.sent.begin())
+    return;
+  const auto unsent = std::prev(after);
+  if (window.last_sent == *unsent)
+    window.last_sent.reset();
+  window.sent.erase(unsent);
+}
+
 }  // namespace mangodoor
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -36,6 +36,9 @@
 
 bool IsCold(const ColdWindow& window, TimePoint now);
 
+/** True if the window limits requests to a server that is, or turns, cold. */
+bool IsRelevant(const ColdWindow& window, TimePoint now);
+
 /** This instance's part of the requests that a cold server may get. */
 struct ColdLimit {
   /** 0 means no limit. */
@@ -52,9 +55,20 @@
                  const ColdLimit& limit,
                  TimePoint now);
 
-/** Records a request sent at `now`. */
+/**
+ * True if a request that was recorded by RecordSent(), perhaps before the
+ * server turned cold, may still be sent.
+ */
+bool MayStillSendCold(const ColdWindow& window,
+                      const ColdLimit& limit,
+                      TimePoint now);
+
+/** Records a request that is sent to the server, at `now` or soon after. */
 void RecordSent(ColdWindow& window, TimePoint now);
 
+/** Removes the latest request recorded up to `at`, since it was not sent. */
+void RemoveUnsent(ColdWindow& window, TimePoint at);
+
 }  // namespace mangodoor
 
 #endif  // PROCESS_SERVERS_COLD_WINDOW_H_
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -1,10 +1,14 @@
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "process/servers/server_pool.h"
 
 namespace mangodoor {
 namespace {
 
+constexpr Duration kFormerServerKept = std::chrono::minutes(1);
+
 /** Resets everything but the outstanding requests and their start times. */
 void ResetEntry(ServerEntry& entry) {
   const int outstanding = entry.outstanding;
@@ -37,6 +41,36 @@
     servers.push_back(&entry);
 }
 
+void DropOutdatedFormerServers(ServerPool& pool, TimePoint now) {
+  auto& former = pool.former_servers;
+  for (auto it = former.begin(); it != former.end();) {
+    const bool outdated = now - it->second.removed_at >= kFormerServerKept ||
+                          !IsRelevant(it->second.cold_window, now);
+    it = outdated ? former.erase(it) : std::next(it);
+  }
+}
+
+/**
+ * Removes and returns the known cold window of the server that the record
+ * describes; an empty one for a new server or incarnation.
+ */
+ColdWindow TakeColdWindow(ServerPool& pool,
+                          ServerEntry& entry,
+                          const ServerRecord& record) {
+  if (entry.id == record.id)
+    return entry.incarnation == record.incarnation
+               ? std::move(entry.cold_window)
+               : ColdWindow();
+  const auto found = pool.former_servers.find(record.id);
+  if (found == pool.former_servers.end())
+    return {};
+  FormerServer former = std::move(found->second);
+  pool.former_servers.erase(found);
+  return former.incarnation == record.incarnation
+             ? std::move(former.cold_window)
+             : ColdWindow();
+}
+
 void ApplyRecord(ServerPool& pool, const ServerRecord& record, TimePoint now) {
   ServerEntry& entry = pool.servers[record.id];
   const bool is_new = entry.id.empty() || !entry.listed ||
@@ -44,8 +78,10 @@
                       entry.endpoint != record.endpoint ||
                       entry.service != record.service;
   if (is_new) {
+    ColdWindow cold_window = TakeColdWindow(pool, entry, record);
     RemoveFromService(pool, entry);
     ResetEntry(entry);
+    entry.cold_window = std::move(cold_window);
   }
   entry.id = record.id;
   entry.discovered = true;
@@ -64,20 +100,33 @@
   AddToService(pool, entry);
 }
 
+/**
+ * Instances of other data centres send nothing to a cold server, unless its
+ * data centre has no instance.
+ */
+bool MayServeWhileCold(const ServerPool& pool, const ServerEntry& server) {
+  return server.own_data_centre ||
+         !HasInstance(pool.shares, server.data_centre);
+}
+
 /**
  * The rate limit of a cold server is divided among the instances of its data
- * centre. Instances of other data centres send nothing to it, unless its data
- * centre has no instance.
+ * centre.
  */
+ColdLimit ColdLimitOf(const ServerPool& pool,
+                      const ServiceEntry& service,
+                      const ServerEntry& server) {
+  return {service.cold_rate_per_s * OwnShare(pool.shares, server.data_centre),
+          pool.shares.phase};
+}
+
 bool MaySendToCold(const ServerPool& pool,
                    const ServiceEntry& service,
                    const ServerEntry& server,
                    TimePoint now) {
-  if (!server.own_data_centre && HasInstance(pool.shares, server.data_centre))
-    return false;
-  const double rate_per_s =
-      service.cold_rate_per_s * OwnShare(pool.shares, server.data_centre);
-  return MaySendCold(server.cold_window, {rate_per_s, pool.shares.phase}, now);
+  return MayServeWhileCold(pool, server) &&
+         MaySendCold(server.cold_window, ColdLimitOf(pool, service, server),
+                     now);
 }
 
 void ServeAllQueues(ServerPool& pool, TimePoint now) {
@@ -100,7 +149,7 @@
     RemoveFromService(pool, *entry);
     entry->listed = false;
     if (entry->outstanding == 0)
-      pool.servers.erase(id);
+      EraseServer(pool, id, now);
   }
   ServeAllQueues(pool, now);
   ServerActions actions;
@@ -108,6 +157,17 @@
   return actions;
 }
 
+void EraseServer(ServerPool& pool, const BackendServerId& id, TimePoint now) {
+  DropOutdatedFormerServers(pool, now);
+  const auto found = pool.servers.find(id);
+  if (found == pool.servers.end())
+    return;
+  const ServerEntry& entry = found->second;
+  if (entry.discovered && IsRelevant(entry.cold_window, now))
+    pool.former_servers[id] = {entry.incarnation, entry.cold_window, now};
+  pool.servers.erase(found);
+}
+
 ServerActions SetDataCentreOut(ServerPool& pool,
                                const DataCentreId& data_centre,
                                bool out,
@@ -167,6 +227,19 @@
       [](const ServerEntry* a, const ServerEntry* b) { return a->id < b->id; });
 }
 
+bool DiscoveredMayStillSend(const ServerPool& pool,
+                            const ServerEntry& server,
+                            TimePoint now) {
+  if (!IsUsable(server, now))
+    return false;
+  const auto service = pool.services.find(server.service);
+  if (service == pool.services.end() || !IsCold(server.cold_window, now))
+    return true;
+  return MayServeWhileCold(pool, server) &&
+         MayStillSendCold(server.cold_window,
+                          ColdLimitOf(pool, service->second, server), now);
+}
+
 int DiscoveredAllowance(const ServerPool& pool,
                         const ServiceEntry& service,
                         const ServerEntry& server,
--- a/tests/routing/cold_reports_test.cc
+++ b/tests/routing/cold_reports_test.cc
@@ -86,6 +86,15 @@
     return static_cast<int>(sent_.size() - before);
   }
 
+  /** Ends the reservation of the latest request; it was not sent. */
+  void ReleaseUnused() {
+    AttemptResult result;
+    result.latency = now_ - running_.back();
+    sent_.pop_back();
+    running_.pop_back();
+    Run(ReleaseServer(pool_, cold_server, result, now_));
+  }
+
   /** Most requests sent within one second. */
   int BusiestSecond() const {
     int most = 0;
@@ -224,6 +233,124 @@
   EXPECT_GE(sent_.size(), 3U * kOwnColdRatePerS);
 }
 
+// Guards against a cold server whose entry lapses and comes back: it got a
+// second's share again, and counted as warm.
+TEST_F(ColdReportsTest, EntryThatComesBackKeepsItsColdState) {
+  Apply(Record(1));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  SendFor(milliseconds(500));
+  Remove();
+  // Its requests end while it is not listed.
+  SendFor(milliseconds(200));
+  ASSERT_EQ(FindServer(pool_, cold_server), nullptr);
+  Apply(Record(2));
+  EXPECT_TRUE(KnownCold());
+  SendFor(seconds(1));
+  EXPECT_LE(BusiestSecond(), kOwnColdRatePerS);
+}
+
+// The same for an entry that comes back while requests are running.
+TEST_F(ColdReportsTest, EntryInUseKeepsItsColdState) {
+  Apply(Record(1));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  SendFor(milliseconds(10));
+  ASSERT_GT(FindServer(pool_, cold_server)->outstanding, 0);
+  Remove();
+  Apply(Record(2));
+  EXPECT_TRUE(KnownCold());
+  ServerRecord moved = Record(3);
+  moved.endpoint.port = 81;
+  Apply(moved);
+  EXPECT_TRUE(KnownCold());
+  SendFor(seconds(1));
+  EXPECT_LE(BusiestSecond(), kOwnColdRatePerS);
+}
+
+// Guards against requests that are sent although their server turned cold after
+// they were placed, and are more than its limit.
+TEST_F(ColdReportsTest, PlacedRequestsBeyondTheLimitAreNotSent) {
+  pool_.shares.instances = {{here, 6}};
+  Apply(Record(1));
+  ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
+  EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  EXPECT_FALSE(MayStillSend(pool_, cold_server, now_));
+  ReleaseUnused();
+  // Two of the three are within the limit.
+  EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
+  EXPECT_EQ(SendFor(milliseconds(900)), 0);
+}
+
+// The same for an instance whose part is below one request a second. Its first
+// request has to wait for its turn.
+TEST_F(ColdReportsTest, PlacedRequestIsNotSentBeforeItsTurn) {
+  pool_.shares.instances = {{here, 24}};
+  pool_.shares.phase = 0.9;
+  Apply(Record(1));
+  ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  for (int i = 0; i < kSlots; ++i) {
+    EXPECT_FALSE(MayStillSend(pool_, cold_server, now_));
+    ReleaseUnused();
+  }
+  EXPECT_EQ(SendFor(milliseconds(1700)), 0);
+  EXPECT_EQ(SendFor(milliseconds(200)), 1);
+  EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
+}
+
+// Guards against a request that is sent to a server of another data centre
+// after that has turned cold.
+TEST_F(ColdReportsTest, PlacedRequestIsNotSentToAnotherDataCentre) {
+  const DataCentreId there("there");
+  pool_.shares.instances = {{here, 3}, {there, 3}};
+  ServerRecord remote = Record(1);
+  remote.data_centre = there;
+  Apply(remote);
+  ASSERT_GE(SendFor(milliseconds(1)), 1);
+  EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  EXPECT_FALSE(MayStillSend(pool_, cold_server, now_));
+}
+
+// Guards against a cold server that gets less than its limit because requests
+// were placed on it, but not sent.
+TEST_F(ColdReportsTest, UnsentRequestDoesNotCountAgainstTheLimit) {
+  Apply(Record(1, seconds(60)));
+  cold_until_ = now_ + seconds(60);
+  ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
+  for (int i = 0; i < kSlots; ++i)
+    ReleaseUnused();
+  EXPECT_EQ(SendFor(milliseconds(500)), kOwnColdRatePerS);
+}
+
+// Guards against memory for each server that was ever removed.
+TEST_F(ColdReportsTest, StateOfRemovedServersIsDropped) {
+  constexpr int kServers = 200;
+  for (int i = 0; i < kServers; ++i) {
+    ServerRecord record = Record(1, i % 2 == 0 ? seconds(3) : seconds(0));
+    record.id = BackendServerId("former" + std::to_string(i));
+    Apply(record);
+    ApplyRecords(pool_, {}, {record.id}, now_);
+  }
+  EXPECT_EQ(pool_.former_servers.size(), kServers / 2U);
+  now_ += seconds(3);
+  Apply(Record(1, std::chrono::hours(1)));
+  Remove();
+  EXPECT_EQ(pool_.former_servers.size(), 1U);
+  now_ += std::chrono::minutes(2);
+  ServerRecord other = Record(2, seconds(3));
+  other.id = BackendServerId("i2");
+  Apply(other);
+  ApplyRecords(pool_, {}, {other.id}, now_);
+  EXPECT_EQ(pool_.former_servers.count(other.id), 1U);
+  EXPECT_EQ(pool_.former_servers.count(cold_server), 0U);
+}
+
 // Guards against the state of an ended server being taken for that of the one
 // that was started under its id.
 TEST_F(ColdReportsTest, NewIncarnationHasItsOwnColdState) {
@@ -234,6 +361,11 @@
   restarted.incarnation = 2;
   Apply(restarted);
   EXPECT_FALSE(KnownCold());
+  Probe();
+  Remove();
+  restarted.incarnation = 3;
+  Apply(restarted);
+  EXPECT_FALSE(KnownCold());
 }
 
 }  // namespace
