Let an instance lose the turns that it does not use at a cold server

Instances agreed on their shares, none had failed. This is what the users' record shows: nearly every instance of one data centre as a sender, a server that had turned cold again, and requests for changed routes that reach every instance within 30 ms.

Cause: with less than one request a second, an instance kept an interval from its last request, and waited for its phase only before the first one of a cold phase. Once these had passed, each instance could send one at any time, and all of them at the same time: the intervals of the whole fleet were saved up. Class: unused allowance of many holders, each too small to look like a burst.

Now each instance may send only in its turn, the first half second of each interval, and loses a turn that it does not use. A part of one request a second or more keeps the interval, too, and is no longer rounded down (two instances that share 3.2 a second could send 2).

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -1,6 +1,7 @@
 #include "process/servers/cold_window.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace mangodoor {
@@ -8,6 +9,10 @@
 
 constexpr Duration kRateWindow = std::chrono::seconds(1);
 
+// How long an instance with less than one request a second may wait for a
+// request to send in its turn.
+constexpr Duration kTurn = std::chrono::milliseconds(500);
+
 // Bounds the memory for each server. Earlier requests to a warm server do not
 // count when it turns cold, which matters only for parts above this limit.
 constexpr size_t kMaxSentWhileWarm = 64;
@@ -28,6 +33,25 @@
   return static_cast<int>(recent);
 }
 
+/**
+ * True in the first part of each interval, counted from `phase`, until a
+ * request was sent in it. An instance that does not use its turn loses it: the
+ * instances of a large fleet have less than one request a second each, and all
+ * of them would send one at once when a server turns cold again, or when
+ * callers come late in a cold phase.
+ */
+bool HasTurn(const ColdWindow& window,
+             Duration interval,
+             double phase,
+             TimePoint now) {
+  const Duration offset(
+      static_cast<int64_t>(static_cast<double>(interval.count()) * phase));
+  const Duration passed =
+      (now.time_since_epoch() + interval - offset) % interval;
+  return passed < kTurn &&
+         (!window.last_sent || *window.last_sent < now - passed);
+}
+
 }  // namespace
 
 void SetColdByProbe(ColdWindow& window, Duration remaining, TimePoint now) {
@@ -53,27 +77,18 @@
   return IsCold(window, now) || SentRecently(window, now) > 0;
 }
 
-// The instances of a large fleet have less than one request a second each. If
-// all of them sent the first one of a cold phase at once, they would exceed the
-// limit of the server together, so that their phases differ.
 bool MaySendCold(const ColdWindow& window,
                  const ColdLimit& limit,
                  TimePoint now) {
   if (limit.rate_per_s <= 0 || !IsCold(window, now))
     return true;
+  const auto interval = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1 / limit.rate_per_s));
   const int recent = SentRecently(window, now);
-  if (limit.rate_per_s >= 1)
-    return recent < static_cast<int>(limit.rate_per_s);
-  if (recent > 0)
-    return false;
-  const std::chrono::duration<double> interval(1 / limit.rate_per_s);
-  TimePoint earliest = window.began + std::chrono::duration_cast<Duration>(
-                                          interval * limit.phase);
-  if (window.last_sent)
-    earliest =
-        std::max(earliest, *window.last_sent +
-                               std::chrono::duration_cast<Duration>(interval));
-  return now >= earliest;
+  if (interval > kRateWindow)
+    return recent == 0 && HasTurn(window, interval, limit.phase, now);
+  return recent < std::ceil(limit.rate_per_s) &&
+         (window.sent.empty() || now - window.sent.back() >= interval);
 }
 
 // RecordSent() has counted the request. If the server turned cold meanwhile,
@@ -88,7 +103,7 @@
     return true;
   if (limit.rate_per_s < 1)
     return window.last_sent && *window.last_sent >= window.began;
-  return SentRecently(window, now) <= static_cast<int>(limit.rate_per_s);
+  return SentRecently(window, now) <= std::ceil(limit.rate_per_s);
 }
 
 // Requests to a warm server are kept, too: if it turns cold, those that it got
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -44,8 +44,9 @@
   /** 0 means no limit. */
   double rate_per_s = 0;
   /**
-   * Part of the interval between two requests, from 0 to 1, that passes before
-   * the first one if the rate is below one a second.
+   * Part of the interval between two requests, from 0 to 1, after which this
+   * instance has its turn if the rate is below one a second. Another one at
+   * each instance, so that they do not all send at the same time.
    */
   double phase = 0;
 };
--- a/tests/routing/cold_reports_test.cc
+++ b/tests/routing/cold_reports_test.cc
@@ -225,7 +225,7 @@
 TEST_F(ColdReportsTest, RequestsBeforeTheNewsCountAgainstTheLimit) {
   Apply(Record(1));
   ASSERT_EQ(SendFor(milliseconds(10)), kSlots);
-  cold_until_ = now_ + seconds(3);
+  cold_until_ = now_ + seconds(4);
   Probe();
   SendFor(seconds(3));
   EXPECT_LE(BusiestSecond(), kOwnColdRatePerS);
@@ -288,7 +288,8 @@
 // request has to wait for its turn.
 TEST_F(ColdReportsTest, PlacedRequestIsNotSentBeforeItsTurn) {
   pool_.shares.instances = {{here, 24}};
-  pool_.shares.phase = 0.9;
+  // Its turn is from 1.5 to 2 s.
+  pool_.shares.phase = 0.75;
   Apply(Record(1));
   ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
   cold_until_ = now_ + seconds(3);
@@ -297,7 +298,7 @@
     EXPECT_FALSE(MayStillSend(pool_, cold_server, now_));
     ReleaseUnused();
   }
-  EXPECT_EQ(SendFor(milliseconds(1700)), 0);
+  EXPECT_EQ(SendFor(milliseconds(1400)), 0);
   EXPECT_EQ(SendFor(milliseconds(200)), 1);
   EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
 }
@@ -322,10 +323,11 @@
 TEST_F(ColdReportsTest, UnsentRequestDoesNotCountAgainstTheLimit) {
   Apply(Record(1, seconds(60)));
   cold_until_ = now_ + seconds(60);
-  ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
-  for (int i = 0; i < kSlots; ++i)
+  for (int i = 0; i < kOwnColdRatePerS; ++i) {
+    ASSERT_EQ(SendFor(milliseconds(3)), 1);
     ReleaseUnused();
-  EXPECT_EQ(SendFor(milliseconds(500)), kOwnColdRatePerS);
+  }
+  EXPECT_EQ(SendFor(seconds(1)), kOwnColdRatePerS);
 }
 
 // Guards against memory for each server that was ever removed.
--- a/tests/routing/cold_window_test.cc
+++ b/tests/routing/cold_window_test.cc
@@ -19,7 +19,8 @@
   ColdWindow window;
   RecordSent(window, kStart);
   SetColdByProbe(window, seconds(3), kStart + milliseconds(100));
-  const ColdLimit limit{0.9, 0};
+  // The turn of this instance is from 0.9 to 1.4 s and from -0.2 to 0.3 s.
+  const ColdLimit limit{0.9, 0.8};
   EXPECT_FALSE(MaySendCold(window, limit, kStart + milliseconds(200)));
   EXPECT_TRUE(MaySendCold(window, limit, kStart + seconds(1)));
 }
@@ -69,6 +70,39 @@
   EXPECT_EQ(window.sent.size(), 0U);
 }
 
+// Guards against instances of a large fleet that all send at once because their
+// callers come late in a cold phase.
+TEST(ColdWindowTest, UnusedTurnsAreLost) {
+  constexpr int kInstances = 24;
+  const double rate_per_s = 3.2 / kInstances;
+  for (const seconds first_request : {seconds(5), seconds(40), seconds(100)}) {
+    int sent = 0;
+    for (int i = 0; i < kInstances; ++i) {
+      ColdWindow window;
+      SetColdByProbe(window, seconds(200), kStart);
+      const ColdLimit limit{rate_per_s, i / double{kInstances}};
+      sent += MaySendCold(window, limit, kStart + first_request);
+    }
+    EXPECT_LE(sent, 3.2) << first_request.count();
+  }
+}
+
+// Guards against an instance whose part above one request a second is rounded
+// down.
+TEST(ColdWindowTest, PartsOfARequestAreUsed) {
+  ColdWindow window;
+  SetColdByProbe(window, seconds(20), kStart);
+  const ColdLimit limit{1.6, 0};
+  int sent = 0;
+  for (milliseconds t{0}; t < seconds(10); t += milliseconds(5)) {
+    if (!MaySendCold(window, limit, kStart + t))
+      continue;
+    RecordSent(window, kStart + t);
+    ++sent;
+  }
+  EXPECT_EQ(sent, 16);
+}
+
 // Guards against memory for each request that a warm server gets.
 TEST(ColdWindowTest, MemoryIsBoundedWhileWarm) {
   ColdWindow window;
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -330,6 +330,7 @@
 // request a second.
 TEST_F(DiscoveredServersTest, ColdRateBelowOnePerSecondIsSpread) {
   pool_.shares.instances = {{here, 36}};
+  pool_.shares.phase = 0.5;
   ServerRecord cold = Record(1, here);
   cold.cold_remaining = seconds(60);
   Apply({cold});
