--- a/tests/members/cold_fleet_sim.h
+++ b/tests/members/cold_fleet_sim.h
@@ -119,9 +119,13 @@
   void UpdateShares(int index);
   double SumOfShares(const DataCentreId& data_centre) const;
   void ReadRecordsAfterStart(ServingInstance& instance);
+  void SendRecord(ServingInstance& instance, const ServerRecord& record);
   void ReceiveRecords(ServingInstance& instance);
   void Serve();
   void EndRequests(ServingInstance& instance);
+  bool BelievesCold(int index, int server);
+  bool WasTold(int index, int server);
+  bool HasDemand(int index, int server);
   bool SendOne(int index, int server);
   std::optional<ChosenServer> Acquire(ServingInstance& instance,
                                       const ServiceId& service);
