--- a/tests/members/cold_fleet_sim.cc
+++ b/tests/members/cold_fleet_sim.cc
@@ -1,6 +1,7 @@
 #include "members/cold_fleet_sim.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "process/fleet/advertised_instances.h"
@@ -11,8 +12,7 @@
 
 using std::chrono::milliseconds;
 
-// Interval at which callers try again; one of FleetProcess's ticks for its
-// servers is as long.
+// Interval at which callers try again.
 constexpr Duration kStep = milliseconds(20);
 
 constexpr Duration kWorkTime = milliseconds(20);
--- a/tests/members/cold_fleet_sim.h
+++ b/tests/members/cold_fleet_sim.h
@@ -4,8 +4,8 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -1,6 +1,7 @@
 #include "members/fleet_sim.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangodoor {
 
--- a/tests/members/fleet_sim.h
+++ b/tests/members/fleet_sim.h
@@ -37,6 +37,7 @@
   /** Fills in how many instances the rates of a heartbeat cover. */
   UsageLimiter usage;
   TimePoint next_tick{};
+  /** Time of the latest tick. */
   TimePoint ticked_at{};
   /** Rate at which callers send requests to it. */
   double requests_per_s = 0;
