Let the leader divide what cold servers may get among its data centre

Servers saw: a cold server got up to 76 requests in one second after its data centre's instances had been restarted, or cut off from each other; 12.8 are allowed. Callers saw the server crash.

Cause: each instance computed its share from the instances that it knew at that moment. One that had just started, or took the others for gone, used the whole rate; instances that disagreed on who is advertised each took an advertised instance's part; one that knew no instance of another data centre sent to the cold servers there. Class: a share of a common limit that is computed from the holder's own view, where what is not known counts as absent.

Now the leader of a data centre makes a grant, carried by its heartbeats and valid for two seconds: who is advertised, and which part of the limit the group may use. Without a grant nothing is sent to a cold server; it becomes warm by itself within seconds. Two leaders cannot both use the whole limit: - a new leader waits until earlier grants have expired, and a grant of one's own ends with the leadership; - a group that is not the majority of the known instances, those declared gone within two minutes included, uses its proportion only, so that all groups together use at most 1.5 times the limit; - in the first 10 s after its start an instance counts at least 16 instances, and one that has not found any other makes no grant at all. Data centres without instances are named in the grant, too, and all data centres divide their servers. The phase of a turn comes from the instance's own id. Turns are 250 ms long, and a gap remains between two of them when the share changes.

Known limits: an instance that is alone for more than two minutes forgets the others and uses the whole limit.

--- /dev/null
+++ b/src/process/fleet/capacity_grant.cc
@@ -0,0 +1,146 @@
+#include "process/fleet/capacity_grant.h"
+
+#include <algorithm>
+
+#include "process/fleet/advertised_instances.h"
+
+namespace mangodoor {
+namespace {
+
+// Callers with cached addresses still send requests to instances that are no
+// longer advertised, though only to a few of them.
+constexpr double kUnadvertisedShare = 0.5;
+
+// An instance may take this long after its start to find the others. Until then
+// it assumes that its data centre has at least kAssumedInstances, so that
+// groups which have not found each other use only a part of the limits.
+constexpr Duration kJoinTime = std::chrono::seconds(10);
+constexpr int kAssumedInstances = 16;
+
+// The functions in this namespace are called with the table locked.
+
+/** True if this instance has learned of others, or there are none to find. */
+bool HasJoined(const FleetTable& table) {
+  const MemberList& member_list = table.member_list;
+  return !member_list.members.empty() ||
+         std::all_of(table.seeds.begin(), table.seeds.end(),
+                     [&member_list](const Endpoint& seed) {
+                       return seed == member_list.self.peer_endpoint;
+                     });
+}
+
+/** True if another leader's grant may still be in use at some instance. */
+bool MayOverlap(const FleetTable& table, TimePoint now) {
+  const MemberList& member_list = table.member_list;
+  if (!member_list.leader_since)
+    return true;
+  const TimePoint leading_since =
+      std::max(*member_list.leader_since, member_list.watching_since);
+  if (now - leading_since < kGrantValid)
+    return true;
+  return table.held_grant &&
+         table.held_grant->leader != table.member_list.self.id &&
+         now < table.held_grant->until;
+}
+
+/**
+ * Part of the limits that the reachable instances may use. Instances that were
+ * declared gone may be cut off and running, and then use a part themselves. The
+ * parts of all groups add up to at most 1.5, since only one group can be the
+ * majority.
+ */
+double PartOfGroup(int live, int known) {
+  return 2 * live > known ? 1 : static_cast<double>(live) / known;
+}
+
+CapacityGrant MakeGrant(const FleetTable& table,
+                        const GrantInputs& inputs,
+                        TimePoint now) {
+  const MemberList& member_list = table.member_list;
+  const DataCentreId& own_data_centre = member_list.self.data_centre;
+  std::vector<Member> live;
+  std::set<DataCentreId> attended;
+  int live_here = 0;
+  for (const Member* member : LiveMembers(member_list)) {
+    live.push_back(*member);
+    attended.insert(member->data_centre);
+    live_here += member->data_centre == own_data_centre ? 1 : 0;
+  }
+  int known_here = live_here;
+  for (const auto& [id, entry] : member_list.members) {
+    const bool gone = entry.member.state == MemberState::kGone;
+    known_here += gone && entry.member.data_centre == own_data_centre ? 1 : 0;
+  }
+  if (now - table.first_tick.value_or(now) < kJoinTime)
+    known_here = std::max(known_here, kAssumedInstances);
+  CapacityGrant grant;
+  grant.part = PartOfGroup(live_here, known_here);
+  grant.instances = live_here;
+  for (const Member* member :
+       SelectAdvertisedInstances(live, own_data_centre, inputs.requests_per_s))
+    grant.advertised.push_back(member->id);
+  grant.data_centres = static_cast<int>(KnownDataCentres(member_list).size());
+  std::set_difference(inputs.server_data_centres.begin(),
+                      inputs.server_data_centres.end(), attended.begin(),
+                      attended.end(), std::back_inserter(grant.unattended));
+  return grant;
+}
+
+}  // namespace
+
+void RenewGrant(FleetTable& table, const GrantInputs& inputs, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  if (MayOverlap(table, now) || !HasJoined(table))
+    return;
+  table.held_grant = HeldGrant{MakeGrant(table, inputs, now),
+                               table.member_list.self.id, now + kGrantValid};
+}
+
+void RecordGrant(FleetTable& table,
+                 const InstanceId& from,
+                 const FleetHeartbeat& heartbeat,
+                 TimePoint now) {
+  if (!heartbeat.capacity_grant)
+    return;
+  OrderedLock lock(table.mutex);
+  const auto ranked =
+      RankedMembers(table.member_list, table.member_list.self.data_centre);
+  if (ranked.front()->id != from)
+    return;
+  table.held_grant =
+      HeldGrant{*heartbeat.capacity_grant, from, now + kGrantValid};
+}
+
+void FillGrant(const FleetTable& table,
+               FleetHeartbeat& heartbeat,
+               TimePoint now) {
+  OrderedLock lock(table.mutex);
+  const auto& held = table.held_grant;
+  if (held && held->leader == table.member_list.self.id && now < held->until)
+    heartbeat.capacity_grant = held->grant;
+}
+
+std::optional<CapacityGrant> CurrentGrant(const FleetTable& table,
+                                          TimePoint now) {
+  OrderedLock lock(table.mutex);
+  const auto& held = table.held_grant;
+  if (!held || now >= held->until)
+    return std::nullopt;
+  // Another leader may have begun to make grants.
+  const bool own = held->leader == table.member_list.self.id;
+  if (own && !table.member_list.leader_since)
+    return std::nullopt;
+  return held->grant;
+}
+
+double ShareOf(const CapacityGrant& grant, const InstanceId& instance) {
+  const auto& advertised = grant.advertised;
+  if (advertised.empty())
+    return grant.part / grant.instances;
+  if (std::find(advertised.begin(), advertised.end(), instance) !=
+      advertised.end())
+    return grant.part / static_cast<double>(advertised.size());
+  return grant.part * kUnadvertisedShare / grant.instances;
+}
+
+}  // namespace mangodoor
--- a/src/process/fleet/fleet_table.cc
+++ b/src/process/fleet/fleet_table.cc
@@ -99,6 +99,8 @@
   if (!table.last_tick || now - *table.last_tick > kMaxTickGap)
     table.member_list.watching_since = now;
   table.last_tick = now;
+  if (!table.first_tick)
+    table.first_tick = now;
   FleetActions actions;
   actions.gone = DeclareGone(table.member_list, {}, now);
   ForgetGone(table.member_list, kGoneRetention, now);
--- a/src/process/fleet/fleet_table.h
+++ b/src/process/fleet/fleet_table.h
@@ -42,6 +42,14 @@
   size_t pushing_hubs = kHubsPerDataCentre;
 };
 
+/** A grant and how long it may be used. */
+struct HeldGrant {
+  CapacityGrant grant;
+  /** The instance that made it. */
+  InstanceId leader;
+  TimePoint until{};
+};
+
 using FleetViewPtr = std::shared_ptr<const FleetView>;
 
 /**
@@ -63,6 +71,10 @@
   /** `member_list.last_change` and `link_changes` when `view` was made. */
   mutable std::pair<uint64_t, uint64_t> view_changes;
   RequestRates request_rates;
+  /** The latest grant, made by this instance or received; see capacity_grant.h.
+   */
+  std::optional<HeldGrant> held_grant;
+  std::optional<TimePoint> first_tick;
   std::optional<TimePoint> last_tick;
 };
 
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -16,6 +16,7 @@
 #include "process/accounts/io/token_exchange.h"
 #include "process/fleet/address_plan.h"
 #include "process/fleet/advertised_instances.h"
+#include "process/fleet/capacity_grant.h"
 #include "process/fleet/capacity_shares.h"
 #include "process/fleet/fleet_table.h"
 #include "process/io/action_runner.h"
@@ -107,6 +108,7 @@
   void HandlePeerLost(const InstanceId& peer);
   void TickMembers();
   void TickServerTable();
+  void UpdateShares(const FleetView& view, TimePoint now);
   double RequestRatePerDataCentre(const FleetView& view) const;
   void SendHeartbeats(const std::vector<InstanceId>& due,
                       const FleetView& view);
@@ -355,6 +357,7 @@
   const FleetViewPtr view = ViewFleet(fleet_);
   store_feed_.HandleHeartbeat(from, heartbeat, now);
   RecordPeerRequestRates(fleet_, from, heartbeat, now);
+  RecordGrant(fleet_, from, heartbeat, now);
   const auto sender =
       std::find_if(view->live.begin(), view->live.end(),
                    [&](const Member& member) { return member.id == from; });
@@ -393,9 +396,7 @@
     SetLeader(tables_.usage.limiter, view->rank == 0, now);
   }
   tokens_.RefillPools(*view);
-  SetInstanceShares(
-      tables_.servers,
-      ComputeInstanceShares(*view, RequestRatePerDataCentre(*view)));
+  UpdateShares(*view, now);
   SetInstanceCount(retry_table_, instance_count);
   SendHeartbeats(actions.heartbeats, *view);
   UpdateLinks(std::move(actions.links));
@@ -403,11 +404,24 @@
   RecordConfirmation(tables_.versions, ConfirmedAt(feed_), now);
 }
 
+void FleetProcess::UpdateShares(const FleetView& view, TimePoint now) {
+  GrantInputs inputs;
+  inputs.requests_per_s = RequestRatePerDataCentre(view);
+  for (const auto& [data_centre, slots] : UsableSlots(tables_.servers, now))
+    inputs.server_data_centres.insert(data_centre);
+  RenewGrant(fleet_, inputs, now);
+  SetInstanceShares(tables_.servers,
+                    ComputeInstanceShares(view, CurrentGrant(fleet_, now),
+                                          inputs.requests_per_s));
+}
+
 double FleetProcess::RequestRatePerDataCentre(const FleetView& view) const {
   const TimePoint now = clock_.Now();
-  return mangodoor::RequestRatePerDataCentre(view.live,
-                                             FleetRequestsPerS(fleet_, now),
-                                             UsableSlots(tables_.servers, now));
+  double all_slots = 0;
+  for (const auto& [data_centre, slots] : UsableSlots(tables_.servers, now))
+    all_slots += slots;
+  return mangodoor::RequestRatePerDataCentre(
+      view.live, FleetRequestsPerS(fleet_, now), all_slots);
 }
 
 void FleetProcess::SendHeartbeats(const std::vector<InstanceId>& due,
@@ -431,6 +445,8 @@
   const TimePoint now = clock_.Now();
   FleetHeartbeat heartbeat;
   FillFeedState(feed_, now, heartbeat);
+  if (scope == UsageScope::kFleet)
+    FillGrant(fleet_, heartbeat, now);
   if (includes_usage) {
     heartbeat.scope = scope;
     FillRequestRates(fleet_, heartbeat, now);
--- a/src/process/peers/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -27,6 +27,9 @@
 constexpr size_t kMaxAccountEntries = 16384;
 constexpr size_t kMaxServerReports = 16384;
 constexpr size_t kMaxInstances = 4096;
+
+// CapacityGrant::part travels as a whole number of these units.
+constexpr int64_t kPartUnits = 1000;
 constexpr size_t kMaxDocumentTextBytes = 1536 * 1024;
 constexpr int64_t kMaxInFlight = 1000000;
 constexpr Duration kMaxAge = std::chrono::hours(24 * 366);
@@ -335,6 +338,42 @@
   return FromUsageUnits(IntegerIn(entry, index, 0, kMaxUsageUnits));
 }
 
+template <typename Id>
+Json EncodeIds(const std::vector<Id>& ids) {
+  Json json = Json::array();
+  for (const Id& id : ids)
+    json.push_back(id.value());
+  return json;
+}
+
+template <typename Id>
+std::vector<Id> IdsAt(const Json& json, const char* name) {
+  const Json& names = ArrayAt(json, name, kMaxInstances);
+  std::vector<Id> ids;
+  for (size_t i = 0; i < names.size(); ++i)
+    ids.push_back(Id(NameIn(names, i)));
+  return ids;
+}
+
+Json Encode(const CapacityGrant& grant) {
+  return {{"p", std::llround(grant.part * kPartUnits)},
+          {"n", grant.instances},
+          {"a", EncodeIds(grant.advertised)},
+          {"d", grant.data_centres},
+          {"u", EncodeIds(grant.unattended)}};
+}
+
+CapacityGrant DecodeCapacityGrant(const Json& json) {
+  CapacityGrant grant;
+  grant.part =
+      static_cast<double>(IntegerAt(json, "p", 0, kPartUnits)) / kPartUnits;
+  grant.instances = static_cast<int>(IntegerAt(json, "n", 1, kMaxInstances));
+  grant.advertised = IdsAt<InstanceId>(json, "a");
+  grant.data_centres = static_cast<int>(IntegerAt(json, "d", 1, kMaxInstances));
+  grant.unattended = IdsAt<DataCentreId>(json, "u");
+  return grant;
+}
+
 Json Encode(const FleetHeartbeat& heartbeat) {
   Json json{{"t", "member_beat"}, {"r", heartbeat.store_revision}};
   if (heartbeat.reads_store)
@@ -348,6 +387,8 @@
             .count();
   if (heartbeat.store_age_hops > 0)
     json["h"] = heartbeat.store_age_hops;
+  if (heartbeat.capacity_grant)
+    json["c"] = Encode(*heartbeat.capacity_grant);
   if (heartbeat.covered == 0)
     return json;
   json["s"] = static_cast<int>(heartbeat.scope);
@@ -375,6 +416,8 @@
   if (json.contains("h"))
     heartbeat.store_age_hops =
         static_cast<int>(IntegerAt(json, "h", 0, kMaxInstances));
+  if (json.contains("c"))
+    heartbeat.capacity_grant = DecodeCapacityGrant(json["c"]);
   if (!json.contains("n"))
     return heartbeat;
   heartbeat.scope = static_cast<UsageScope>(IntegerAt(json, "s", 0, 2));
--- a/src/process/peers/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -143,6 +143,26 @@
   double own_per_s = 0;
 };
 
+/**
+ * The requests that the instances of a data centre may send to its cold servers
+ * are divided by its leader alone, since instances can disagree on who runs.
+ */
+struct CapacityGrant {
+  /**
+   * From 0 to 1: part of each server's limit that may be used. Below 1 if the
+   * leader knows of more instances than it reaches.
+   */
+  double part = 0;
+  /** Running instances of the data centre, at least 1. */
+  int instances = 1;
+  /** Instances that callers are sent to. */
+  std::vector<InstanceId> advertised;
+  /** Data centres of the fleet, at least 1. */
+  int data_centres = 1;
+  /** Data centres that have servers and no running instance. */
+  std::vector<DataCentreId> unattended;
+};
+
 /** The instances over which a FleetHeartbeat sums up request rates. */
 enum class UsageScope { kInstance, kDataCentre, kFleet };
 
@@ -170,6 +190,8 @@
   /** The part that the sender receives itself. */
   double own_requests_per_s = 0;
   std::vector<AccountUsage> usage;
+  /** Set by the leader of a data centre for the instances there. */
+  std::optional<CapacityGrant> capacity_grant;
 };
 
 /** Asks the leader of a data centre for tokens of a client account. */
--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -11,7 +11,7 @@
 
 // How long an instance with less than one request a second may wait for a
 // request to send in its turn.
-constexpr Duration kTurn = std::chrono::milliseconds(500);
+constexpr Duration kTurn = std::chrono::milliseconds(250);
 
 // Bounds the memory for each server. Earlier requests to a warm server do not
 // count when it turns cold, which matters only for parts above this limit.
@@ -49,7 +49,7 @@
   const Duration passed =
       (now.time_since_epoch() + interval - offset) % interval;
   return passed < kTurn &&
-         (!window.last_sent || *window.last_sent < now - passed);
+         (!window.last_sent || now - *window.last_sent >= interval - kTurn);
 }
 
 }  // namespace
@@ -80,8 +80,10 @@
 bool MaySendCold(const ColdWindow& window,
                  const ColdLimit& limit,
                  TimePoint now) {
-  if (limit.rate_per_s <= 0 || !IsCold(window, now))
+  if (!IsCold(window, now))
     return true;
+  if (limit.rate_per_s <= 0)
+    return false;
   const auto interval = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(1 / limit.rate_per_s));
   const int recent = SentRecently(window, now);
@@ -99,8 +101,10 @@
 bool MayStillSendCold(const ColdWindow& window,
                       const ColdLimit& limit,
                       TimePoint now) {
-  if (limit.rate_per_s <= 0 || !IsCold(window, now))
+  if (!IsCold(window, now))
     return true;
+  if (limit.rate_per_s <= 0)
+    return false;
   if (limit.rate_per_s < 1)
     return window.last_sent && *window.last_sent >= window.began;
   return SentRecently(window, now) <= std::ceil(limit.rate_per_s);
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -41,7 +41,7 @@
 
 /** This instance's part of the requests that a cold server may get. */
 struct ColdLimit {
-  /** 0 means no limit. */
+  /** Requests a second; 0 if none may be sent. */
   double rate_per_s = 0;
   /**
    * Part of the interval between two requests, from 0 to 1, after which this
--- a/src/process/servers/instance_shares.h
+++ b/src/process/servers/instance_shares.h
@@ -2,11 +2,25 @@
 #define PROCESS_SERVERS_INSTANCE_SHARES_H_
 
 #include <map>
+#include <set>
 
 #include "version/ids.h"
 
 namespace mangodoor {
 
+/**
+ * This instance's shares, from 0 to 1, of the requests that cold servers may
+ * get; 0 without a grant of the leader of its data centre.
+ */
+struct ColdShares {
+  /** Share of the servers of its own data centre. */
+  double own_data_centre = 0;
+  /** Share of the servers of each of `unattended`. */
+  double elsewhere = 0;
+  /** Data centres that have servers and no running instance. */
+  std::set<DataCentreId> unattended;
+};
+
 /** Instances among which the capacity of the servers is divided. */
 struct InstanceShares {
   /** Running instances of each data centre. */
@@ -18,9 +32,10 @@
   std::map<DataCentreId, int> advertised_instances;
   /** True if this instance is one of the advertised instances. */
   bool is_advertised = false;
+  ColdShares cold;
   /**
-   * From 0 to 1, and another one at each instance of the data centre: spreads
-   * what all of them would do at the same time.
+   * From 0 to 1, by the id of this instance alone: spreads what all instances
+   * would do at the same time, whatever each knows of the others.
    */
   double phase = 0;
 };
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -101,32 +101,27 @@
 }
 
 /**
- * Instances of other data centres send nothing to a cold server, unless its
- * data centre has no instance.
+ * This instance's share of the requests that a cold server may get. Its data
+ * centre's instances divide them; those of other data centres send nothing to
+ * it, unless its data centre has no instance.
  */
-bool MayServeWhileCold(const ServerPool& pool, const ServerEntry& server) {
-  return server.own_data_centre ||
-         !HasInstance(pool.shares, server.data_centre);
+double ColdShare(const ServerPool& pool, const ServerEntry& server) {
+  const ColdShares& shares = pool.shares.cold;
+  if (server.own_data_centre)
+    return shares.own_data_centre;
+  return shares.unattended.count(server.data_centre) > 0 ? shares.elsewhere : 0;
 }
 
-/**
- * The rate limit of a cold server is divided among the instances of its data
- * centre.
- */
 ColdLimit ColdLimitOf(const ServerPool& pool,
                       const ServiceEntry& service,
                       const ServerEntry& server) {
-  return {service.cold_rate_per_s * OwnShare(pool.shares, server.data_centre),
-          pool.shares.phase};
+  return {service.cold_rate_per_s * ColdShare(pool, server), pool.shares.phase};
 }
 
-bool MaySendToCold(const ServerPool& pool,
-                   const ServiceEntry& service,
+bool IsColdLimited(const ServiceEntry& service,
                    const ServerEntry& server,
                    TimePoint now) {
-  return MayServeWhileCold(pool, server) &&
-         MaySendCold(server.cold_window, ColdLimitOf(pool, service, server),
-                     now);
+  return service.cold_rate_per_s > 0 && IsCold(server.cold_window, now);
 }
 
 void ServeAllQueues(ServerPool& pool, TimePoint now) {
@@ -186,10 +181,13 @@
   return actions;
 }
 
-double UsableSlots(const ServerPool& pool, TimePoint now) {
-  double slots = 0;
-  for (const auto& [id, server] : pool.servers)
-    slots += IsUsable(server, now) ? server.slots : 0;
+std::map<DataCentreId, double> UsableSlots(const ServerPool& pool,
+                                           TimePoint now) {
+  std::map<DataCentreId, double> slots;
+  for (const auto& [id, server] : pool.servers) {
+    if (IsUsable(server, now))
+      slots[server.data_centre] += server.slots;
+  }
   return slots;
 }
 
@@ -233,10 +231,10 @@
   if (!IsUsable(server, now))
     return false;
   const auto service = pool.services.find(server.service);
-  if (service == pool.services.end() || !IsCold(server.cold_window, now))
+  if (service == pool.services.end() ||
+      !IsColdLimited(service->second, server, now))
     return true;
-  return MayServeWhileCold(pool, server) &&
-         MayStillSendCold(server.cold_window,
+  return MayStillSendCold(server.cold_window,
                           ColdLimitOf(pool, service->second, server), now);
 }
 
@@ -246,8 +244,8 @@
                         TimePoint now) {
   if (!IsUsable(server, now))
     return 0;
-  if (IsCold(server.cold_window, now) &&
-      !MaySendToCold(pool, service, server, now))
+  if (IsColdLimited(service, server, now) &&
+      !MaySendCold(server.cold_window, ColdLimitOf(pool, service, server), now))
     return 0;
   const int others = static_cast<int>(OthersNow(server.load_estimate, now));
   return std::max(1, server.slots - others);
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -244,8 +244,8 @@
                                const DataCentreId& data_centre,
                                bool out,
                                TimePoint now);
-/** Slots of all usable servers. */
-double UsableSlots(const ServerPool& pool, TimePoint now);
+std::map<DataCentreId, double> UsableSlots(const ServerPool& pool,
+                                           TimePoint now);
 std::map<DataCentreId, double> CapacityOf(
     const ServerPool& pool,
     const std::vector<ServiceId>& services,
--- a/src/process/servers/server_table.cc
+++ b/src/process/servers/server_table.cc
@@ -43,7 +43,8 @@
   table.pool.shares = std::move(shares);
 }
 
-double UsableSlots(const ServerTable& table, TimePoint now) {
+std::map<DataCentreId, double> UsableSlots(const ServerTable& table,
+                                           TimePoint now) {
   OrderedLock lock(table.mutex);
   return UsableSlots(table.pool, now);
 }
--- a/src/process/servers/server_table.h
+++ b/src/process/servers/server_table.h
@@ -51,8 +51,9 @@
 
 void SetInstanceShares(ServerTable& table, InstanceShares shares);
 
-/** Slots of all usable servers. */
-double UsableSlots(const ServerTable& table, TimePoint now);
+/** Slots of all usable servers, by data centre. */
+std::map<DataCentreId, double> UsableSlots(const ServerTable& table,
+                                           TimePoint now);
 
 /**
  * Reserves a server. `done` is called later if and only if the state of the
--- a/tests/members/cold_fleet_sim.cc
+++ b/tests/members/cold_fleet_sim.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "process/fleet/advertised_instances.h"
+#include "process/fleet/capacity_grant.h"
 #include "process/fleet/capacity_shares.h"
 
 namespace mangodoor {
@@ -138,11 +139,19 @@
 // Does what FleetProcess::TickMembers does for the shares.
 void ColdFleetSim::UpdateShares(int index) {
   ServerPool& pool = instances_.at(static_cast<size_t>(index))->pool;
-  const FleetTable& table = fleet_.TableAt(index);
+  FleetTable& table = fleet_.TableAt(index);
   const FleetViewPtr view = ViewFleet(table);
-  const double requests_per_s = RequestRatePerDataCentre(
-      view->live, FleetRequestsPerS(table, now_), UsableSlots(pool, now_));
-  pool.shares = ComputeInstanceShares(*view, requests_per_s);
+  GrantInputs inputs;
+  double all_slots = 0;
+  for (const auto& [data_centre, slots] : UsableSlots(pool, now_)) {
+    inputs.server_data_centres.insert(data_centre);
+    all_slots += slots;
+  }
+  inputs.requests_per_s = RequestRatePerDataCentre(
+      view->live, FleetRequestsPerS(table, now_), all_slots);
+  RenewGrant(table, inputs, now_);
+  pool.shares = ComputeInstanceShares(*view, CurrentGrant(table, now_),
+                                      inputs.requests_per_s);
 }
 
 double ColdFleetSim::SumOfShares(const DataCentreId& data_centre) const {
@@ -151,9 +160,11 @@
     if (!instance)
       continue;
     const ServerPool& pool = instance->pool;
-    if (pool.own_data_centre == data_centre ||
-        !HasInstance(pool.shares, data_centre))
-      sum += OwnShare(pool.shares, data_centre);
+    const ColdShares& shares = pool.shares.cold;
+    if (pool.own_data_centre == data_centre)
+      sum += shares.own_data_centre;
+    else if (shares.unattended.count(data_centre) > 0)
+      sum += shares.elsewhere;
   }
   return sum;
 }
--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "process/fleet/capacity_grant.h"
+
 namespace mangodoor {
 
 FleetSim::FleetSim(int data_centres, int instances_each, int seeds)
@@ -216,6 +218,8 @@
   if (to.empty())
     return;
   FleetHeartbeat heartbeat;
+  if (scope == UsageScope::kFleet)
+    FillGrant(*instance.table, heartbeat, now_);
   if (includes_rates) {
     heartbeat.scope = scope;
     FillRequestRates(*instance.table, heartbeat, now_);
@@ -252,6 +256,7 @@
                                const FleetHeartbeat& heartbeat) {
   const FleetViewPtr view = ViewFleet(*instance.table);
   RecordPeerRequestRates(*instance.table, from, heartbeat, now_);
+  RecordGrant(*instance.table, from, heartbeat, now_);
   const auto sender =
       std::find_if(view->live.begin(), view->live.end(),
                    [&](const Member& member) { return member.id == from; });
@@ -319,7 +324,7 @@
   return instances_.at(IdOf(index)).member;
 }
 
-const FleetTable& FleetSim::TableAt(int index) const {
+FleetTable& FleetSim::TableAt(int index) const {
   return *instances_.at(IdOf(index)).table;
 }
 
--- a/tests/members/fleet_sim.h
+++ b/tests/members/fleet_sim.h
@@ -102,7 +102,7 @@
   bool HasJustTicked(int index) const;
   const Member& MemberAt(int index) const;
   /** The table of a running instance. */
-  const FleetTable& TableAt(int index) const;
+  FleetTable& TableAt(int index) const;
   /** Ids of the live members in an instance's table. */
   std::set<std::string> LiveAt(int index) const;
   /** Ids of the running instances. */
--- a/tests/peers/peer_codec_test.cc
+++ b/tests/peers/peer_codec_test.cc
@@ -156,6 +156,24 @@
   EXPECT_EQ(decoded.store_age_hops, 3);
 }
 
+// Guards against shares of cold servers that differ from what the leader
+// granted.
+TEST(PeerCodecTest, CapacityGrantIsReadAsSent) {
+  FleetHeartbeat heartbeat;
+  heartbeat.capacity_grant = CapacityGrant{
+      0.25, 24, {InstanceId("a"), InstanceId("b")}, 5, {DataCentreId("west")}};
+  const auto decoded =
+      std::get<FleetHeartbeat>(DecodePeerMessage(EncodePeerMessage(heartbeat)));
+  ASSERT_TRUE(decoded.capacity_grant);
+  EXPECT_EQ(decoded.capacity_grant->part, 0.25);
+  EXPECT_EQ(decoded.capacity_grant->instances, 24);
+  EXPECT_EQ(decoded.capacity_grant->advertised,
+            (std::vector<InstanceId>{InstanceId("a"), InstanceId("b")}));
+  EXPECT_EQ(decoded.capacity_grant->data_centres, 5);
+  EXPECT_EQ(decoded.capacity_grant->unattended,
+            std::vector<DataCentreId>{DataCentreId("west")});
+}
+
 // Guards against rejecting messages of newer instances that have more fields.
 TEST(PeerCodecTest, UnknownFieldsAreIgnored) {
   Json json = HeartbeatJson();
--- a/tests/routing/cold_reports_test.cc
+++ b/tests/routing/cold_reports_test.cc
@@ -50,7 +50,7 @@
     document.version = 1;
     document.services = {service};
     ApplyVersion(pool_, *MakeVersion(document, "", ""), {}, here, now_);
-    pool_.shares.instances = {{here, kInstances}};
+    pool_.shares.cold.own_data_centre = 1.0 / kInstances;
     pool_.probes_per_s = 1000;
   }
 
@@ -271,7 +271,7 @@
 // Guards against requests that are sent although their server turned cold after
 // they were placed, and are more than its limit.
 TEST_F(ColdReportsTest, PlacedRequestsBeyondTheLimitAreNotSent) {
-  pool_.shares.instances = {{here, 6}};
+  pool_.shares.cold.own_data_centre = 1.0 / 6;
   Apply(Record(1));
   ASSERT_EQ(SendFor(milliseconds(3)), kSlots);
   EXPECT_TRUE(MayStillSend(pool_, cold_server, now_));
@@ -287,7 +287,7 @@
 // The same for an instance whose part is below one request a second. Its first
 // request has to wait for its turn.
 TEST_F(ColdReportsTest, PlacedRequestIsNotSentBeforeItsTurn) {
-  pool_.shares.instances = {{here, 24}};
+  pool_.shares.cold.own_data_centre = 1.0 / 24;
   // Its turn is from 1.5 to 2 s.
   pool_.shares.phase = 0.75;
   Apply(Record(1));
@@ -307,7 +307,6 @@
 // after that has turned cold.
 TEST_F(ColdReportsTest, PlacedRequestIsNotSentToAnotherDataCentre) {
   const DataCentreId there("there");
-  pool_.shares.instances = {{here, 3}, {there, 3}};
   ServerRecord remote = Record(1);
   remote.data_centre = there;
   Apply(remote);
@@ -323,9 +322,11 @@
 TEST_F(ColdReportsTest, UnsentRequestDoesNotCountAgainstTheLimit) {
   Apply(Record(1, seconds(60)));
   cold_until_ = now_ + seconds(60);
+  SendFor(milliseconds(10));
   for (int i = 0; i < kOwnColdRatePerS; ++i) {
-    ASSERT_EQ(SendFor(milliseconds(3)), 1);
+    ASSERT_EQ(sent_.size(), 1U);
     ReleaseUnused();
+    SendFor(milliseconds(10));
   }
   EXPECT_EQ(SendFor(seconds(1)), kOwnColdRatePerS);
 }
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -40,6 +40,8 @@
     document.services = {service};
     ApplyVersion(pool_, *MakeVersion(document, "", ""), {}, here, now_);
     pool_.shares.instances = {{here, 3}, {there, 4}};
+    pool_.shares.cold.own_data_centre = 1.0 / 3;
+    pool_.shares.cold.elsewhere = 1.0 / 6;
     pool_.probes_per_s = 1000;
   }
 
@@ -319,9 +321,9 @@
   cold.id = BackendServerId("i2");
   Apply({cold}, {BackendServerId("i1")});
   EXPECT_TRUE(Choose().empty());
-  pool_.shares.instances = {{here, 3}};
+  pool_.shares.cold.unattended = {there};
   EXPECT_EQ(Choose().value(), "i2");
-  pool_.shares.instances = {{here, 3}, {there, 4}};
+  pool_.shares.cold.unattended.clear();
   now_ += seconds(3);
   EXPECT_EQ(Choose().value(), "i2");
 }
@@ -329,7 +331,7 @@
 // Guards against a cold server to which each of many instances sends one
 // request a second.
 TEST_F(DiscoveredServersTest, ColdRateBelowOnePerSecondIsSpread) {
-  pool_.shares.instances = {{here, 36}};
+  pool_.shares.cold.own_data_centre = 1.0 / 36;
   pool_.shares.phase = 0.5;
   ServerRecord cold = Record(1, here);
   cold.cold_remaining = seconds(60);
@@ -347,6 +349,20 @@
   EXPECT_EQ(sent, 10);
 }
 
+// Guards against an instance that floods a cold server because it knows no
+// other instance that could be sending, as after its start.
+TEST_F(DiscoveredServersTest, NothingIsSentToColdServersWithoutAShare) {
+  ServerRecord cold = Record(1, here);
+  cold.cold_remaining = seconds(3);
+  Apply({cold});
+  pool_.shares.cold = {};
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_TRUE(Choose().empty()) << i;
+    now_ += milliseconds(100);
+  }
+  EXPECT_EQ(Choose().value(), "i1");
+}
+
 // Guards against more connections than a server accepts from the fleet.
 TEST_F(DiscoveredServersTest, ConnectionsAreShared) {
   Apply({Record(1, here)});
