Probe a busy server for its cold state every half second

Servers saw: a server that turned cold while an instance kept it busy got 36 requests in a second from that instance, whose part of the limit is 4, until the registry said that it was cold: 102 in the 3 s of the test.

Cause: a response reports the load, so that the next request is placed without a probe; only probes and records report that the server is cold.

Now a warm server of a service with a cold limit is probed before a request is placed on it if the latest probe is older than 500 ms. This needs a token of the probe budget; without one, requests are placed as before. Servers whose probes have never reported the cold state are not concerned.

Evidence, the tests of this commit on the code before it:

cold_reports_test.cc:340: Failure Expected: (SendFor(seconds(1))) <= (kOwnColdRatePerS), actual: 36 vs 4 [ FAILED ] ColdReportsTest.ResponsesDoNotHideThatAServerIsCold cold_reports_test.cc:350: Expected: (probes_) >= (18), actual: 0 vs 18 [ FAILED ] ColdReportsTest.ProbesOfTheColdStateAreLimited

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -33,6 +33,7 @@
 void SetColdByProbe(ColdWindow& window, Duration remaining, TimePoint now) {
   BeginUnlessCold(window, now);
   window.until_by_probe = now + remaining;
+  window.probed_at = now;
   window.until_by_record = TimePoint();
 }
 
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -14,7 +14,9 @@
   TimePoint began{};
   /** End of the cold phase according to the latest probe. */
   TimePoint until_by_probe{};
-  /** The same, according to the latest record that came after that probe. */
+  /** Time of that probe; unset if no probe has reported the cold state. */
+  std::optional<TimePoint> probed_at;
+  /** End according to the latest record that came after that probe. */
   TimePoint until_by_record{};
   /** Times of the requests sent in the last second; a part of them if warm. */
   std::deque<TimePoint> sent;
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -16,6 +16,10 @@
 // time.
 constexpr Duration kSlowServerProbeInterval = milliseconds(25);
 
+// Responses report the load, but not that the server has turned cold. So a warm
+// server is probed after this time, if it has a limit while cold.
+constexpr Duration kColdStateValid = milliseconds(500);
+
 // A server that does not answer a probe gets no requests or probes for this
 // time, which doubles with each unanswered probe.
 constexpr Duration kFirstProbeBackOff = milliseconds(300);
@@ -63,6 +67,19 @@
   return now - server.load_estimate.at <= kLoadReportValid;
 }
 
+/**
+ * True if the server has to be probed because it can have turned cold. Requests
+ * do not wait for a probe that the budget does not allow.
+ */
+bool NeedsColdProbe(const ServiceEntry& service,
+                    const ServerEntry& server,
+                    TimePoint now) {
+  const ColdWindow& window = server.cold_window;
+  return service.cold_rate_per_s > 0 && !IsCold(window, now) &&
+         window.probed_at && now - *window.probed_at > kColdStateValid &&
+         (server.probe_in_flight || server.probe_tokens >= 1);
+}
+
 /** Expected time of a request that is sent now, relative to usual. */
 double SlowdownOf(const ServiceEntry& service, const ServerEntry& server) {
   const bool near_full = IsNearFull(RequestsAt(server), server.slots);
@@ -135,7 +152,8 @@
   ServerEntry* best = nullptr;
   double best_slowdown = 0;
   for (ServerEntry* server : service.servers) {
-    if (!IsFresh(*server, now) || !HasCapacity(service, *server) ||
+    if (!IsFresh(*server, now) || NeedsColdProbe(service, *server, now) ||
+        !HasCapacity(service, *server) ||
         !MayReceive(pool, service, *server, waiter.requirements, now))
       continue;
     const double slowdown = SlowdownOf(service, *server);
@@ -153,9 +171,13 @@
   return best;
 }
 
-bool MayProbe(const ServerEntry& server, TimePoint now) {
+bool MayProbe(const ServiceEntry& service,
+              const ServerEntry& server,
+              TimePoint now) {
   if (server.probe_in_flight || server.probe_tokens < 1)
     return false;
+  if (NeedsColdProbe(service, server, now))
+    return true;
   const bool bad = server.load_estimate.slowness > kMaxGoodSlowdown;
   return now - server.load_estimate.at >
          (bad ? kSlowServerProbeInterval : kLoadReportValid);
@@ -184,7 +206,7 @@
   const size_t count = service.servers.size();
   for (size_t i = 0; i < count; ++i) {
     ServerEntry* server = service.servers[(waiter.random + i) % count];
-    if (server->own_data_centre == remote || !MayProbe(*server, now) ||
+    if (server->own_data_centre == remote || !MayProbe(service, *server, now) ||
         server->outstanding >=
             BestConcurrency(service.work_model, server->slots) ||
         !MayReceive(pool, service, *server, waiter.requirements, now))
--- a/tests/routing/cold_reports_test.cc
+++ b/tests/routing/cold_reports_test.cc
@@ -328,6 +328,44 @@
   EXPECT_EQ(SendFor(milliseconds(500)), kOwnColdRatePerS);
 }
 
+// Guards against a server that turns cold while responses keep its load
+// current: without a probe, an instance sent it 33 requests a second instead of
+// 4 until its record said so.
+TEST_F(ColdReportsTest, ResponsesDoNotHideThatAServerIsCold) {
+  Apply(Record(1));
+  SendFor(seconds(2));
+  cold_until_ = now_ + seconds(3);
+  SendFor(milliseconds(550));
+  EXPECT_TRUE(KnownCold());
+  EXPECT_LE(SendFor(seconds(1)), kOwnColdRatePerS);
+}
+
+// Guards against more probes than that takes, and against requests that wait
+// for a probe that the budget does not allow.
+TEST_F(ColdReportsTest, ProbesOfTheColdStateAreLimited) {
+  Apply(Record(1));
+  SendFor(seconds(2));
+  probes_ = 0;
+  EXPECT_GE(SendFor(seconds(10)), 335);
+  EXPECT_GE(probes_, 18);
+  EXPECT_LE(probes_, 20);
+  pool_.probes_per_s = 0;
+  FindServer(pool_, cold_server)->probe_tokens = 0;
+  probes_ = 0;
+  EXPECT_GE(SendFor(seconds(10)), 335);
+  EXPECT_EQ(probes_, 0);
+}
+
+// Guards against probes of servers that have no limit while cold.
+TEST_F(ColdReportsTest, NoProbesWithoutAColdLimit) {
+  FindService(pool_, work_service)->cold_rate_per_s = 0;
+  Apply(Record(1));
+  SendFor(seconds(2));
+  probes_ = 0;
+  EXPECT_GE(SendFor(seconds(10)), 335);
+  EXPECT_EQ(probes_, 0);
+}
+
 // Guards against memory for each server that was ever removed.
 TEST_F(ColdReportsTest, StateOfRemovedServersIsDropped) {
   constexpr int kServers = 200;
