Ignore the cold state in a probe answered by another server

Servers saw: a cold server counted as warm, and got requests up to its slots, once a probe of it was answered by the server that now has its address.

Cause: HandlePlacementProbe recorded the cold time before it looked at whose response it was.

Evidence, the test of this commit on the code before it:

cold_reports_test.cc:380: Value of: KnownCold(), Actual: false, Expected: true [ FAILED ] ColdReportsTest.AnotherServersResponseDoesNotCount

--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -379,8 +379,6 @@
                           const ProbeResult& result,
                           TimePoint now) {
   server.probe_in_flight = false;
-  if (result.cold_remaining)
-    SetColdByProbe(server.cold_window, *result.cold_remaining, now);
   if (!result.answered || result.other_server) {
     const int doublings =
         std::min(server.unanswered_probes++, kMaxProbeBackOffDoublings);
@@ -388,6 +386,8 @@
     return;
   }
   server.unanswered_probes = 0;
+  if (result.cold_remaining)
+    SetColdByProbe(server.cold_window, *result.cold_remaining, now);
   ServiceEntry* service = FindService(pool, server.service);
   if (!service)
     return;
--- a/tests/routing/cold_reports_test.cc
+++ b/tests/routing/cold_reports_test.cc
@@ -366,6 +366,20 @@
   EXPECT_EQ(probes_, 0);
 }
 
+// Guards against a cold server that counts as warm because a probe was answered
+// by the server that now has its address.
+TEST_F(ColdReportsTest, AnotherServersResponseDoesNotCount) {
+  Apply(Record(1));
+  cold_until_ = now_ + seconds(3);
+  Probe();
+  ProbeResult other;
+  other.answered = true;
+  other.other_server = true;
+  other.cold_remaining = Duration::zero();
+  HandleProbeResult(pool_, cold_server, other, now_);
+  EXPECT_TRUE(KnownCold());
+}
+
 // Guards against memory for each server that was ever removed.
 TEST_F(ColdReportsTest, StateOfRemovedServersIsDropped) {
   constexpr int kServers = 200;
