Let a request wait for the server that was withdrawn from it

Callers saw: a service with one server refused a request with 503 no_server because the server had turned cold after it was chosen for the request, although it may get the request a moment later.

Cause: AttemptRace counted each server of an ended attempt as tried.

Now a withdrawn server is not counted as tried. One that is draining or was removed is not chosen again anyway. The attempt still counts against the route's limit of attempts.

--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -23,6 +23,17 @@
                                     context.clock.Now()));
 }
 
+/** True if the request may be sent to the same server in a later attempt. */
+bool MayTryAgain(const BackendAttempt& attempt, const AttemptReport& report) {
+  // The server can have turned cold, and may get the request a little later.
+  if (report.end == AttemptReport::End::kServerWithdrawn)
+    return true;
+  // A reused connection that is lost was probably closed by the server while it
+  // was idle.
+  return report.end == AttemptReport::End::kConnectionLost &&
+         attempt.connection_was_reused();
+}
+
 }  // namespace
 
 AttemptRace::AttemptRace(const SessionContext& context,
@@ -122,10 +133,7 @@
     hedge_at_.reset();
     ArmWatchdog();
   }
-  // A reused connection that is lost was probably closed by the server while it
-  // was idle, so the server can be tried again.
-  if (report.end != AttemptReport::End::kConnectionLost ||
-      !attempt_->connection_was_reused())
+  if (!MayTryAgain(*attempt_, report))
     tried_servers_.push_back(server.server);
   AddTrace(*attempt_, report, false);
   return JoinHedge(report, history, yield);
