--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -130,7 +130,7 @@
 struct ServerPool {
   std::unordered_map<BackendServerId, ServerEntry> servers;
   std::unordered_map<ServiceId, ServiceEntry> services;
-  /** Entries of cold or recently used servers can lapse and come back. */
+  /** Removed servers that can come back while they are, or turn, cold. */
   std::unordered_map<BackendServerId, FormerServer> former_servers;
   std::unordered_map<ClientAccountId, int> account_weights;
   DataCentreId own_data_centre;
