--- a/src/process/accounts/usage_limiter.cc
+++ b/src/process/accounts/usage_limiter.cc
@@ -12,14 +12,12 @@
 // callers move to other instances, and do not follow single requests.
 constexpr Duration kDemandAverageTime = std::chrono::seconds(5);
 
-// How long reports of demand are used, and how long the number of instances is
-// kept when a lower one is counted.
+// How long reports of demand are used.
 constexpr Duration kLocalValid = std::chrono::seconds(2);
 constexpr Duration kFleetValid = std::chrono::seconds(3);
-// These are longer, because a data centre that cannot be reached can still
-// admit its share.
+// This is longer, because a data centre that cannot be reached can still admit
+// its share.
 constexpr Duration kRemoteValid = std::chrono::seconds(30);
-constexpr Duration kInstancesValid = std::chrono::seconds(30);
 
 // Fraction of the tolerated overage that the instances can use together. The
 // rest covers shares that add up to more than 1 while reports are under way.
@@ -109,7 +107,7 @@
                          const UsageState& state,
                          double min_per_s) {
   return std::max(state.fleet_demand.per_s, min_per_s) *
-         std::max(1.0, static_cast<double>(limiter.instances) /
+         std::max(1.0, static_cast<double>(limiter.instances.count) /
                            std::max(1, limiter.fleet_coverage.instances));
 }
 
@@ -123,7 +121,7 @@
 
 double PooledPart(const UsageLimiter& limiter, const UsageState& state) {
   const double each =
-      (state.burst + UsableOverage(limiter, state)) / limiter.instances;
+      (state.burst + UsableOverage(limiter, state)) / limiter.instances.count;
   return each < kMinTokensPerInstance ? 1 : kPooledPart;
 }
 
@@ -133,7 +131,7 @@
                  double share) {
   return (1 - PooledPart(limiter, state)) *
          (state.burst * share +
-          UsableOverage(limiter, state) / limiter.instances);
+          UsableOverage(limiter, state) / limiter.instances.count);
 }
 
 void Refill(const UsageLimiter& limiter, UsageState& state, TimePoint now) {
@@ -151,7 +149,7 @@
                   const UsageState& state,
                   TimePoint now) {
   const double even =
-      static_cast<double>(LocalCovered(limiter, now)) / limiter.instances;
+      static_cast<double>(LocalCovered(limiter, now)) / limiter.instances.count;
   if (now - state.fleet_demand.at > kFleetValid ||
       state.fleet_demand.per_s <= 0)
     return even;
@@ -167,7 +165,7 @@
   const double cap =
       part * (state.burst * share + UsableOverage(limiter, state) *
                                         LocalCovered(limiter, now) /
-                                        limiter.instances);
+                                        limiter.instances.count);
   const double elapsed = std::max(0.0, Seconds(now - state.pool_refilled_at));
   state.pool_tokens = std::min(
       cap, state.pool_tokens + part * state.rate_per_s * share * elapsed);
@@ -210,20 +208,10 @@
   }
 }
 
-void SetInstanceCount(UsageLimiter& limiter, int count, TimePoint now) {
-  if (!limiter.instances_set_at)
-    limiter.instances_set_at = now;
-  if (count < limiter.instances &&
-      now - *limiter.instances_set_at < kInstancesValid)
-    return;
-  limiter.instances = std::max(1, count);
-  limiter.instances_set_at = now;
-}
-
 double OwnShare(const UsageLimiter& limiter,
                 const UsageState& state,
                 TimePoint now) {
-  const double even = 1.0 / limiter.instances;
+  const double even = 1.0 / limiter.instances.count;
   if (now - state.fleet_demand.at > kFleetValid ||
       state.fleet_demand.per_s <= 0)
     return even;
--- a/src/process/accounts/usage_limiter.h
+++ b/src/process/accounts/usage_limiter.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "process/clock.h"
+#include "process/fleet/instance_count.h"
 #include "process/peers/peer_message.h"
 #include "version/version.h"
 
@@ -67,12 +68,6 @@
   TimePoint at{};
 };
 
-/**
- * Number of instances assumed after a start, so that a process that does not
- * know the others yet uses at most 1 / kAssumedInstances of the rate.
- */
-constexpr int kAssumedInstances = 16;
-
 /**
  * Limits client accounts by shares that follow demand: heartbeats report the
  * demand at each instance, and each instance uses its share of the rate.
@@ -81,12 +76,10 @@
   UsageTolerance tolerance;
   std::unordered_map<ClientAccountId, UsageState> accounts;
   /**
-   * Number of instances assumed to run; it falls only after 30 s without a
-   * count as high, see SetInstanceCount. Without reports of demand, the share
-   * is 1 / `instances`.
+   * Instances among which the rate is divided: without reports of demand, each
+   * of them has an even share.
    */
-  int instances = kAssumedInstances;
-  std::optional<TimePoint> instances_set_at;
+  InstanceCount instances;
   /** Time of the last heartbeat from each instance of this data centre. */
   std::map<InstanceId, TimePoint> local_heard;
   std::map<DataCentreId, Coverage> remote_coverage;
@@ -101,12 +94,6 @@
                    const Version& version,
                    TimePoint now);
 
-/**
- * Records how many instances are known to run. A count below `instances` is
- * ignored until 30 s have passed without one at least as high.
- */
-void SetInstanceCount(UsageLimiter& limiter, int count, TimePoint now);
-
 /** Sets whether this instance is the leader, which lends tokens. */
 void SetLeader(UsageLimiter& limiter, bool is_leader, TimePoint now);
 
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -389,7 +389,7 @@
   const int instance_count = static_cast<int>(view->live.size());
   {
     OrderedLock lock(tables_.usage.mutex);
-    SetInstanceCount(tables_.usage.limiter, instance_count, now);
+    RecordInstanceCount(tables_.usage.limiter.instances, instance_count, now);
     SetLeader(tables_.usage.limiter, view->rank == 0, now);
   }
   tokens_.RefillPools(*view);
--- a/tests/limits/usage_sim.cc
+++ b/tests/limits/usage_sim.cc
@@ -48,7 +48,7 @@
 
 void UsageSim::Adopt(Instance& instance) {
   instance.limiter.tolerance = {std::chrono::seconds(5), 0.25, 20};
-  SetInstanceCount(instance.limiter, size(), now_);
+  RecordInstanceCount(instance.limiter.instances, size(), now_);
   AdoptAccounts(instance.limiter, *version_, now_);
 }
 
@@ -165,7 +165,8 @@
   while (now_ < end) {
     now_ += kTickInterval;
     for (Instance& instance : instances_) {
-      SetInstanceCount(instance.limiter, instance.cut ? 1 : size(), now_);
+      RecordInstanceCount(instance.limiter.instances, instance.cut ? 1 : size(),
+                          now_);
       SetLeader(instance.limiter, &LeaderOf(instance) == &instance, now_);
       OfferRequests(instance);
     }
