Divide the retry slack by a careful count of instances

What servers would see: after a restart of all instances, or while instances are cut off from each other, the fleet makes many times the retries that its budget allows, just when servers are under pressure.

Cause: RetryTable assumed one instance until the first tick and then used the number of instances known at that moment, and half of a share was available at once. An instance that knew only itself took half of the slack of the fleet for each service, and a slack of its own in each window.

The table now uses InstanceCount, so that a lower count takes effect only after 30 s, and gives a new process no slack in its first window. By then it knows the others, and what the previous process has used is out of the window. A process that has just started still retries up to the ratio of its requests. Instances that stay alone for longer than the first window assume 16.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -396,7 +396,7 @@
   SetInstanceShares(
       tables_.servers,
       ComputeInstanceShares(*view, RequestRatePerDataCentre(*view)));
-  SetInstanceCount(retry_table_, instance_count);
+  SetInstanceCount(retry_table_, instance_count, now);
   SendHeartbeats(actions.heartbeats, *view);
   UpdateLinks(std::move(actions.links));
   store_feed_.Tick(now);
--- a/src/process/servers/retry_table.cc
+++ b/src/process/servers/retry_table.cc
@@ -1,7 +1,6 @@
 #include "process/servers/retry_table.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace mangodoor {
 namespace {
@@ -57,18 +56,15 @@
 
 bool MayRetry(RetryShare& share,
               const RetryPolicy& policy,
-              int instances,
+              const SlackDivision& division,
               TimePoint now) {
   const double slack =
-      kUsedFraction * policy.fleet_slack / std::max(1, instances);
-  if (!std::exchange(share.started, true)) {
-    share.updated = now;
-    share.retries += slack / 2;
+      kUsedFraction * policy.fleet_slack / division.instances.count;
+  const TimePoint from = std::max(share.slack_added_until, division.from);
+  if (now > from) {
+    share.retries += slack / 2 * (Seconds(now - from) / Seconds(policy.window));
+    share.slack_added_until = now;
   }
-  const double windows = std::chrono::duration<double>(now - share.updated) /
-                         std::chrono::duration<double>(policy.window);
-  share.updated = now;
-  share.retries += slack / 2 * windows;
   share.retries = std::min(share.retries, slack / 2 + kMaxSavedRetries);
   return share.retries >= 1;
 }
@@ -85,16 +81,21 @@
     CountRequest(table.budget, now);
 }
 
-void SetInstanceCount(RetryTable& table, int instances) {
+void SetInstanceCount(RetryTable& table, int known, TimePoint now) {
   OrderedLock lock(table.mutex);
-  table.instances = instances;
+  // A process that has just started may not know the other instances yet, and
+  // does not know how much of its share the previous process has used.
+  if (table.policy)
+    table.division.from =
+        std::min(table.division.from, now + table.policy->window);
+  RecordInstanceCount(table.division.instances, known, now);
 }
 
 bool TakeRetry(RetryTable& table, const ServiceId& service, TimePoint now) {
   OrderedLock lock(table.mutex);
   if (table.policy) {
     RetryShare& share = table.shares[service];
-    const bool allowed = MayRetry(share, *table.policy, table.instances, now);
+    const bool allowed = MayRetry(share, *table.policy, table.division, now);
     if (allowed)
       CountRetry(share);
     return allowed;
--- a/src/process/servers/retry_table.h
+++ b/src/process/servers/retry_table.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "process/clock.h"
+#include "process/fleet/instance_count.h"
 #include "process/ordered_mutex.h"
 #include "version/ids.h"
 
@@ -36,19 +37,25 @@
 
 /**
  * This instance's share of a RetryPolicy. Each request adds a fraction of a
- * retry. Half of the share of the slack is available at the start; the other
- * half is added evenly over each window.
+ * retry. Half of the share of the slack is added evenly over each window, and
+ * as much can be saved up.
  */
 struct RetryShare {
   double retries = 0;
-  TimePoint updated{};
-  bool started = false;
+  TimePoint slack_added_until{};
+};
+
+/** How the slack of a RetryPolicy is divided. */
+struct SlackDivision {
+  InstanceCount instances;
+  /** This instance has no share of the slack before this time. */
+  TimePoint from = TimePoint::max();
 };
 
 void CountRequest(RetryShare& share, const RetryPolicy& policy);
 bool MayRetry(RetryShare& share,
               const RetryPolicy& policy,
-              int instances,
+              const SlackDivision& division,
               TimePoint now);
 void CountRetry(RetryShare& share);
 
@@ -59,8 +66,7 @@
   /** If set, replaces `budget`: the fleet's retries are limited per service. */
   std::optional<RetryPolicy> policy;
   std::unordered_map<ServiceId, RetryShare> shares;
-  /** Instances among which the slack of the policy is divided. */
-  int instances = 1;
+  SlackDivision division;
 };
 
 /** Counts a request, which adds a fraction of a retry to the budget. */
@@ -69,7 +75,8 @@
 /** Takes one retry from the budget; false if none is left. */
 bool TakeRetry(RetryTable& table, const ServiceId& service, TimePoint now);
 
-void SetInstanceCount(RetryTable& table, int instances);
+/** Records how many instances are known to run; see RecordInstanceCount. */
+void SetInstanceCount(RetryTable& table, int known, TimePoint now);
 
 }  // namespace mangodoor
 
