Bound the connections to a server by what an instance uses

What servers would see: after a restart of all instances, or while instances are cut off from each other, connections beyond MaxConns, which they reset, so that requests fail on their way.

Cause: an instance divided the limit by the instances that it knew at that moment. One that knew only itself could open all of the connections.

Evidence: DiscoveredServersTest.InstancesAloneStayWithinTheConnectionLimit on the code before: 3,080 connections of 14 instances (220 are accepted), 4,180 of 19 (260), 23,760 of 108 (940), 25,520 of 116 (1,000).

An instance never sends more requests to a server at the same time than the server has slots, and one probe, and it returns or closes a connection before it counts the request as ended. So its share is capped at slots + 1, which is 464 connections for 116 instances, whatever they know of each other. Below that cap, the even share now uses InstanceCount. Where a limit is smaller than slots + 1 for each instance, instances that do not know each other can still exceed it; no installation of the users has such a limit. A fleet of less than 16 instances with a limit below 80 has fewer connections for 30 s after a start.

ConnectionsAreShared keeps its check of an exact even share, with a limit at which the cap does not hide it.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -396,6 +396,7 @@
   SetInstanceShares(
       tables_.servers,
       ComputeInstanceShares(*view, RequestRatePerDataCentre(*view)));
+  SetInstanceCount(tables_.servers, instance_count, now);
   SetInstanceCount(retry_table_, instance_count, now);
   SendHeartbeats(actions.heartbeats, *view);
   UpdateLinks(std::move(actions.links));
--- a/src/process/servers/server_pool.cc
+++ b/src/process/servers/server_pool.cc
@@ -12,6 +12,22 @@
 // overload.
 constexpr int kHedgeMultiple = 4;
 
+/**
+ * Connections to a server that registers itself. The share of the limit is
+ * capped at what this instance uses at the same time: the slots and a probe.
+ * Instances that do not know each other then stay within the limit together
+ * wherever their even shares are at least as large.
+ */
+int DiscoveredConnectionShare(const ServerPool& pool,
+                              const ServerEntry& server) {
+  constexpr int kProbeConnections = 1;
+  const auto service = pool.services.find(server.service);
+  const int limit =
+      service == pool.services.end() ? 1 : service->second.connection_limit;
+  const int even_share = std::max(1, limit / pool.instance_count.count);
+  return std::min(even_share, server.slots + kProbeConnections);
+}
+
 }  // namespace
 
 RampLimits LimitsOf(const ServiceEntry& service, const ServerEntry& server) {
@@ -48,12 +64,8 @@
 int ConnectionShare(const ServerPool& pool,
                     const ServerEntry& server,
                     TimePoint now) {
-  if (server.discovered) {
-    const auto service = pool.services.find(server.service);
-    const int limit =
-        service == pool.services.end() ? 1 : service->second.connection_limit;
-    return std::max(1, limit / TotalInstances(pool.shares));
-  }
+  if (server.discovered)
+    return DiscoveredConnectionShare(pool, server);
   // An instance whose address is not listed has no share. One connection lets
   // it serve requests; servers accept a few connections beyond their limit.
   const bool unlisted =
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "process/fleet/instance_count.h"
 #include "process/servers/cold_start.h"
 #include "process/servers/cold_window.h"
 #include "process/servers/fair_queue.h"
@@ -126,6 +127,8 @@
   /** Taken out of service by an operator's command, not by the version. */
   std::set<DataCentreId> data_centres_out;
   InstanceShares shares;
+  /** Instances among which the connections of a server are divided. */
+  InstanceCount instance_count;
   uint64_t last_ticket = 0;
   /** Decisions on waiting requests, returned with the next actions. */
   std::vector<Decision> pending_decisions;
--- a/src/process/servers/server_table.cc
+++ b/src/process/servers/server_table.cc
@@ -43,6 +43,11 @@
   table.pool.shares = std::move(shares);
 }
 
+void SetInstanceCount(ServerTable& table, int known, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  RecordInstanceCount(table.pool.instance_count, known, now);
+}
+
 double UsableSlots(const ServerTable& table, TimePoint now) {
   OrderedLock lock(table.mutex);
   return UsableSlots(table.pool, now);
--- a/src/process/servers/server_table.h
+++ b/src/process/servers/server_table.h
@@ -51,6 +51,9 @@
 
 void SetInstanceShares(ServerTable& table, InstanceShares shares);
 
+/** Records how many instances are known to run; see RecordInstanceCount. */
+void SetInstanceCount(ServerTable& table, int known, TimePoint now);
+
 /** Slots of all usable servers. */
 double UsableSlots(const ServerTable& table, TimePoint now);
 
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -348,9 +348,41 @@
 
 // Guards against more connections than a server accepts from the fleet.
 TEST_F(DiscoveredServersTest, ConnectionsAreShared) {
+  FindService(pool_, work_service)->connection_limit = 60;
+  RecordInstanceCount(pool_.instance_count, 20, now_);
   Apply({Record(1, here)});
   ASSERT_FALSE(Choose().empty());
-  EXPECT_EQ(connection_limit_, 220 / 7);
+  EXPECT_EQ(connection_limit_, 60 / 20);
+}
+
+// Guards against more connections than a server accepts from the fleet, opened
+// by instances that have just started, and know only themselves, or are cut off
+// from the others. The fleets are those of users.
+TEST_F(DiscoveredServersTest, InstancesAloneStayWithinTheConnectionLimit) {
+  struct Fleet {
+    int instances;
+    int connection_limit;
+  };
+  pool_.shares.instances = {{here, 1}};
+  Apply({Record(1, here)});
+  for (const Fleet& fleet :
+       {Fleet{14, 220}, Fleet{19, 260}, Fleet{108, 940}, Fleet{116, 1000}}) {
+    FindService(pool_, work_service)->connection_limit = fleet.connection_limit;
+    ASSERT_FALSE(Choose().empty());
+    EXPECT_LE(connection_limit_ * fleet.instances, fleet.connection_limit);
+    Answer(BackendServerId("i1"));
+  }
+}
+
+// Guards against connections that do not suffice for the requests and the probe
+// that an instance sends to a server at the same time.
+TEST_F(DiscoveredServersTest, ConnectionsSufficeForAllSlotsAndAProbe) {
+  Apply({Record(1, here)});
+  for (int running = 0; running < 3; ++running) {
+    ASSERT_FALSE(Choose().empty());
+    EXPECT_GE(connection_limit_, 3 + 1);
+  }
+  EXPECT_TRUE(Choose().empty());
 }
 
 // Guards against counting the capacity of servers that get no work: callers
