Limit the probes of an instance that knows few others by its requests

What servers would see: after a restart of all instances, or while instances are cut off from each other, many times the probes of ProbesPerS. At 6 ms a probe, a busy server would spend all of its slots on them.

Cause: an instance that knew only itself had the whole probe budget of each server.

Evidence: ProbeBudgetTest.InstancesAloneStayWithinTheBudget on the code before: 28 instances, each alone, with 25 requests a second in total for one busy server sent 7,555 probes in 5 s; 300 are allowed.

An instance that knows less than a quarter of the instances that InstanceCount assumes now probes at most 1.5 times for each request, and once in 2 s for each service, beside its share. The probes of all instances together then follow the requests of the fleet, whatever they know of each other: for the largest site, at most 25 * 1.5 + 28 / 2 = 51.5 a second for the only server of a service in its data centre, and far less for the other services. An even part of the budget, 60 / 116 = 0.5 a second, would be strict without counting requests, but an instance with four requests a second for that server could place only one in eight of them. A fleet of fewer than four instances is limited in this way for 30 s after a start; ProbeBudgetTest.InstanceAlonePlacesAllRequests has one that places 25 requests a second.

--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -210,22 +210,38 @@
                      });
 }
 
-void RequestProbe(ServerPool& pool, ServerEntry& server, TimePoint now) {
+void RequestProbe(ServerPool& pool,
+                  ServiceEntry& service,
+                  ServerEntry& server,
+                  TimePoint now) {
   server.probe_in_flight = true;
   server.probe_tokens -= 1;
+  TakeProbe(service.probe_credit);
   ChosenServer probed = ToChosenServer(pool, server, now);
-  if (const ServiceEntry* service = FindService(pool, server.service))
-    probed.health_path = service->health_path;
+  probed.health_path = service.health_path;
   pool.pending_probes.push_back(std::move(probed));
 }
 
+/**
+ * True if this instance knows only a few of the instances that are assumed to
+ * run: it has just started, or is cut off from the others. Its share of the
+ * probe budget is then far too large.
+ */
+bool KnowsFewInstances(const ServerPool& pool) {
+  constexpr int kAssumedPerKnownInstance = 4;
+  return TotalInstances(pool.shares) * kAssumedPerKnownInstance <
+         pool.instance_count.count;
+}
+
 /** Requests a probe of one server that the waiting request may be sent to. */
 void RequestProbeFor(ServerPool& pool,
                      ServiceEntry& service,
                      const Waiter& waiter,
                      TimePoint now) {
+  if (KnowsFewInstances(pool) && !HasProbe(service.probe_credit))
+    return;
   if (ServerEntry* local = FindServerToProbe(pool, service, waiter, false, now))
-    return RequestProbe(pool, *local, now);
+    return RequestProbe(pool, service, *local, now);
   const Urgency urgency = UrgencyOf(service, waiter.requirements, now);
   const bool remote = (urgency.in_time && urgency.slack < kRemoteProbeSlack) ||
                       !HasLocalServer(pool, service, waiter.requirements, now);
@@ -233,7 +249,7 @@
     return;
   if (ServerEntry* remote_server =
           FindServerToProbe(pool, service, waiter, true, now))
-    RequestProbe(pool, *remote_server, now);
+    RequestProbe(pool, service, *remote_server, now);
 }
 
 bool CannotMeetDeadline(const ServiceEntry& service,
@@ -314,6 +330,7 @@
       service.placement_queue.size() >= pool.max_waiting)
     return false;
   service.placement_queue.push_back(std::move(waiter));
+  CountRequest(service.probe_credit, now);
   return true;
 }
 
@@ -325,6 +342,7 @@
   EndUnservableWaits(pool, service, now);
   DropDecided(service);
   RefillProbeTokens(pool, service, now);
+  Refill(service.probe_credit, now);
   SortWaiting(service, now);
   for (Waiter& waiter : service.placement_queue) {
     ServerEntry* server = FindBestServer(pool, service, waiter, now);
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -16,6 +16,7 @@
 #include "process/servers/latency.h"
 #include "process/servers/load_estimate.h"
 #include "process/servers/outlier.h"
+#include "process/servers/probe_credit.h"
 #include "process/servers/probe_schedule.h"
 #include "process/servers/server_record.h"
 #include "process/servers/server_request.h"
@@ -109,6 +110,7 @@
   WorkModel work_model;
   /** Requests that wait for placement on a server that reports its load. */
   std::vector<Waiter> placement_queue;
+  ProbeCredit probe_credit;
 };
 
 /** A decision on a waiting request whose callback has not run yet. */
@@ -127,7 +129,10 @@
   /** Taken out of service by an operator's command, not by the version. */
   std::set<DataCentreId> data_centres_out;
   InstanceShares shares;
-  /** Instances among which the connections of a server are divided. */
+  /**
+   * Instances among which the connections of a server are divided; `shares` may
+   * have fewer.
+   */
   InstanceCount instance_count;
   uint64_t last_ticket = 0;
   /** Decisions on waiting requests, returned with the next actions. */
