Let a new instance save up no probes before it knows the others

What servers would see: after a restart of all instances, a burst of probes once the instances know each other.

Cause: the token bucket of a server started with its full 20 probes, because the time of its first refill counted from the epoch of the clock; and an instance that knew only itself filled it at the rate of the whole budget.

A bucket now fills from the time at which the server was found, and holds one probe while the instance knows few of the others. That one is enough to place requests: it is refilled within 17 ms there, and limited by ProbeCredit.

--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -309,12 +309,17 @@
 void RefillProbeTokens(const ServerPool& pool,
                        ServiceEntry& service,
                        TimePoint now) {
-  constexpr double kMaxProbeTokens = 20;
+  constexpr double kMaxTokens = 20;
+  // An instance that knows few of the others has too large a share, and must
+  // not save it up until it knows them.
+  constexpr double kMaxTokensOfFewInstances = 1;
+  const double max_tokens =
+      KnowsFewInstances(pool) ? kMaxTokensOfFewInstances : kMaxTokens;
   for (ServerEntry* server : service.servers) {
     const double elapsed = Seconds(now - server->probe_tokens_refilled_at);
     server->probe_tokens_refilled_at = now;
     server->probe_tokens = std::min(
-        kMaxProbeTokens,
+        max_tokens,
         server->probe_tokens + elapsed * pool.probes_per_s *
                                    OwnShare(pool.shares, server->data_centre));
   }
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -46,6 +46,7 @@
   if (is_new) {
     RemoveFromService(pool, entry);
     ResetEntry(entry);
+    entry.probe_tokens_refilled_at = now;
   }
   entry.id = record.id;
   entry.discovered = true;
--- a/tests/routing/probe_budget_test.cc
+++ b/tests/routing/probe_budget_test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include <string>
+#include <numeric>
 #include <vector>
 
 #include "process/servers/server_pool.h"
@@ -19,12 +19,15 @@
 // As in the largest data centre of a user: its instances, and the requests a
 // second for the service that has a single server there.
 constexpr int kInstances = 28;
+constexpr size_t kAdvertisedInstances = 6;
 constexpr double kRequestsPerS = 25;
+// The shares of the instances of a data centre add up to this at most.
+constexpr double kMaxSumOfShares = 1.5;
 
-/** An instance that knows no other, with requests for one server. */
-class LoneInstance {
+/** An instance that at first knows no other, with requests for one server. */
+class ProbingInstance {
  public:
-  LoneInstance() {
+  ProbingInstance() {
     Service service;
     service.id = work_service;
     service.discovered = true;
@@ -32,9 +35,7 @@
     document.version = 1;
     document.services = {service};
     ApplyVersion(pool_, *MakeVersion(document, "", ""), {}, here, kStart);
-    pool_.shares.instances = {{here, 1}};
-    pool_.shares.advertised_instances = {{here, 1}};
-    pool_.shares.is_advertised = true;
+    SetKnown(1, 1, true);
     pool_.probes_per_s = kProbesPerS;
     ServerRecord record;
     record.id = only_server;
@@ -69,6 +70,14 @@
 
   void Tick(TimePoint now) { Run(TickServers(pool_, now), now); }
 
+  /** Sets how many instances of its data centre it knows. */
+  void SetKnown(int instances, int advertised_instances, bool is_advertised) {
+    pool_.shares.instances = {{here, instances}};
+    pool_.shares.advertised_instances = {{here, advertised_instances}};
+    pool_.shares.is_advertised = is_advertised;
+    RecordInstanceCount(pool_.instance_count, instances, kStart);
+  }
+
   /** Whether all slots of the server are in use by other instances. */
   void set_server_full(bool full) { server_full_ = full; }
   int probes() const { return probes_; }
@@ -93,38 +102,67 @@
   int placed_ = 0;
 };
 
-/** Spreads kRequestsPerS over the instances for `duration`. */
-void SendRequests(std::vector<LoneInstance>& instances, Duration duration) {
-  constexpr Duration kTick = milliseconds(10);
-  double due = 0;
-  size_t next = 0;
-  for (Duration t{0}; t < duration; t += kTick) {
-    for (due += kRequestsPerS * Seconds(kTick); due >= 1; due -= 1)
-      instances.at(next++ % instances.size()).SendRequest(kStart + t);
-    for (LoneInstance& instance : instances)
-      instance.Tick(kStart + t);
+/** Instances of one data centre with kRequestsPerS for a busy server. */
+class ProbingFleet {
+ public:
+  ProbingFleet() : instances_(kInstances) {
+    for (ProbingInstance& instance : instances_)
+      instance.set_server_full(true);
   }
-}
+
+  void RunFor(Duration duration) {
+    constexpr Duration kTick = milliseconds(10);
+    for (const TimePoint end = now_ + duration; now_ < end; now_ += kTick) {
+      for (due_ += kRequestsPerS * Seconds(kTick); due_ >= 1; due_ -= 1)
+        instances_.at(next_++ % instances_.size()).SendRequest(now_);
+      for (ProbingInstance& instance : instances_)
+        instance.Tick(now_);
+    }
+  }
+
+  /** Lets all instances know each other. */
+  void Connect() {
+    for (size_t i = 0; i < instances_.size(); ++i)
+      instances_[i].SetKnown(kInstances, kAdvertisedInstances,
+                             i < kAdvertisedInstances);
+  }
+
+  int probes() const {
+    return std::accumulate(
+        instances_.begin(), instances_.end(), 0,
+        [](int sum, const ProbingInstance& one) { return sum + one.probes(); });
+  }
+
+ private:
+  std::vector<ProbingInstance> instances_;
+  TimePoint now_ = kStart;
+  double due_ = 0;
+  size_t next_ = 0;
+};
 
 // Guards against instances that each use the probe budget of the whole fleet
 // after all of them were restarted, or cut off from each other: a busy server
 // would spend its time on probes.
 TEST(ProbeBudgetTest, InstancesAloneStayWithinTheBudget) {
-  constexpr Duration kDuration = seconds(5);
-  std::vector<LoneInstance> instances(kInstances);
-  for (LoneInstance& instance : instances)
-    instance.set_server_full(true);
-  SendRequests(instances, kDuration);
-  int probes = 0;
-  for (const LoneInstance& instance : instances)
-    probes += instance.probes();
-  EXPECT_LE(probes, kProbesPerS * Seconds(kDuration));
+  ProbingFleet fleet;
+  fleet.RunFor(seconds(5));
+  EXPECT_LE(fleet.probes(), kProbesPerS * 5);
+}
+
+// Guards against instances that save up probes while they know only themselves,
+// and use them once they know each other.
+TEST(ProbeBudgetTest, RestartOfAllStaysWithinTheShares) {
+  ProbingFleet fleet;
+  fleet.RunFor(seconds(1));
+  fleet.Connect();
+  fleet.RunFor(seconds(4));
+  EXPECT_LE(fleet.probes(), kProbesPerS * kMaxSumOfShares * 5);
 }
 
 // Guards against an instance that places no requests because it may not probe
 // before it knows others.
 TEST(ProbeBudgetTest, InstanceAlonePlacesAllRequests) {
-  LoneInstance instance;
+  ProbingInstance instance;
   constexpr int kRequests = 100;
   for (int i = 0; i < kRequests; ++i) {
     const TimePoint now = kStart + milliseconds(40) * i;
