Give probes a share of their own, smaller for other data centres

What servers would see: more probes than ProbesPerS if requests at many data centres are nearly late at the same time, or a data centre has no usable server of a service: 7 times the budget at most in a fleet of five data centres.

Cause: OwnShare divides the budget of a server among the instances of its data centre, but instances of other data centres, which also probe it, took as large a part each. The share of a cold server does not have this fault, because instances of other data centres send it nothing.

Evidence: InstanceSharesTest.ProbeSharesOfAllDataCentresStayWithinTheBound with the share before: the other four data centres together had 5.48 times the budget of a server, besides its own data centre's 1.5.

ProbeShare leaves the share within the data centre as it was, and gives all other data centres half of the budget together, mostly to advertised instances. A sum of 1 over all would take too much from small services: in the largest data centre, a service with 25 requests a second has one server. If that is gone, each of six advertised instances needs about 1.5 probes for each of 4.2 requests a second, 11 a second in a burst of 1.7 times the load; the other 15 servers now give each of them 15 * 60 * 0.5 / 24 = 19 a second.

--- a/src/process/servers/instance_shares.cc
+++ b/src/process/servers/instance_shares.cc
@@ -1,6 +1,7 @@
 #include "process/servers/instance_shares.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace mangodoor {
 namespace {
@@ -9,19 +10,40 @@
 // longer advertised, though only to a few of them.
 constexpr double kUnadvertisedShare = 0.5;
 
+// Part of the probe budget of a server for the instances of other data centres.
+constexpr double kRemoteProbePart = 0.5;
+
 int CountIn(const std::map<DataCentreId, int>& counts,
             const DataCentreId& data_centre) {
   const auto found = counts.find(data_centre);
   return found == counts.end() ? 0 : found->second;
 }
 
+int Sum(const std::map<DataCentreId, int>& counts) {
+  return std::accumulate(
+      counts.begin(), counts.end(), 0,
+      [](int sum, const auto& entry) { return sum + entry.second; });
+}
+
+/** Instances that divide something among them. */
+struct Sharers {
+  int instances = 0;
+  int advertised_instances = 0;
+};
+
+/** The part of one of the sharers; all parts add up to at most 1.5. */
+double PartOf(const Sharers& sharers, bool is_advertised) {
+  const int instances = std::max(1, sharers.instances);
+  if (sharers.advertised_instances == 0)
+    return 1.0 / instances;
+  return is_advertised ? 1.0 / sharers.advertised_instances
+                       : kUnadvertisedShare / instances;
+}
+
 }  // namespace
 
 int TotalInstances(const InstanceShares& shares) {
-  int all = 0;
-  for (const auto& [data_centre, count] : shares.instances)
-    all += count;
-  return std::max(1, all);
+  return std::max(1, Sum(shares.instances));
 }
 
 bool HasInstance(const InstanceShares& shares,
@@ -35,10 +57,24 @@
       CountIn(shares.advertised_instances, data_centre);
   if (instances == 0)
     return 1.0 / TotalInstances(shares);
-  if (advertised_instances == 0)
-    return 1.0 / instances;
-  return shares.is_advertised ? 1.0 / advertised_instances
-                              : kUnadvertisedShare / instances;
+  return PartOf({instances, advertised_instances}, shares.is_advertised);
+}
+
+// Instances of other data centres probe a server only for requests that are
+// nearly late, or if their own data centre has no usable server.
+double ProbeShare(const InstanceShares& shares,
+                  const DataCentreId& data_centre,
+                  bool is_local) {
+  const int instances = CountIn(shares.instances, data_centre);
+  const int advertised_instances =
+      CountIn(shares.advertised_instances, data_centre);
+  if (is_local)
+    return PartOf({instances, advertised_instances}, shares.is_advertised);
+  const double remote_part = instances > 0 ? kRemoteProbePart : 1;
+  return remote_part *
+         PartOf({Sum(shares.instances) - instances,
+                 Sum(shares.advertised_instances) - advertised_instances},
+                shares.is_advertised);
 }
 
 }  // namespace mangodoor
--- a/src/process/servers/instance_shares.h
+++ b/src/process/servers/instance_shares.h
@@ -37,6 +37,15 @@
  */
 double OwnShare(const InstanceShares& shares, const DataCentreId& data_centre);
 
+/**
+ * This instance's share of the probe budget of a server in the data centre,
+ * from 0 to 1; `is_local` if that is its own. The shares of the instances of
+ * the data centre add up to at most 1.5, those of all others to half of that.
+ */
+double ProbeShare(const InstanceShares& shares,
+                  const DataCentreId& data_centre,
+                  bool is_local);
+
 }  // namespace mangodoor
 
 #endif  // PROCESS_SERVERS_INSTANCE_SHARES_H_
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -316,12 +316,13 @@
   const double max_tokens =
       KnowsFewInstances(pool) ? kMaxTokensOfFewInstances : kMaxTokens;
   for (ServerEntry* server : service.servers) {
+    const double per_s =
+        pool.probes_per_s *
+        ProbeShare(pool.shares, server->data_centre, server->own_data_centre);
     const double elapsed = Seconds(now - server->probe_tokens_refilled_at);
     server->probe_tokens_refilled_at = now;
-    server->probe_tokens = std::min(
-        max_tokens,
-        server->probe_tokens + elapsed * pool.probes_per_s *
-                                   OwnShare(pool.shares, server->data_centre));
+    server->probe_tokens =
+        std::min(max_tokens, server->probe_tokens + elapsed * per_s);
   }
 }
 
--- a/tests/routing/instance_shares_test.cc
+++ b/tests/routing/instance_shares_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <string>
 #include <vector>
 
 #include "process/servers/cold_window.h"
@@ -52,6 +53,44 @@
   EXPECT_EQ(OwnShare(Shares(4, 2, true), DataCentreId("there")), 0.25);
 }
 
+// Guards against instances of other data centres that each have as large a part
+// of the probe budget of a server as those of its own.
+TEST(InstanceSharesTest, ProbeSharesOfAllDataCentresStayWithinTheBound) {
+  constexpr int kDataCentres = 5;
+  constexpr int kInstances = 23;
+  constexpr int kAdvertisedInstances = 6;
+  InstanceShares shares;
+  shares.instances[here] = kInstances;
+  shares.advertised_instances[here] = kAdvertisedInstances;
+  for (int i = 1; i < kDataCentres; ++i) {
+    const DataCentreId other("other" + std::to_string(i));
+    shares.instances[other] = kInstances;
+    shares.advertised_instances[other] = kAdvertisedInstances;
+  }
+  double local = 0;
+  double remote = 0;
+  for (int i = 0; i < kInstances; ++i) {
+    shares.is_advertised = i < kAdvertisedInstances;
+    local += ProbeShare(shares, here, true);
+    remote += ProbeShare(shares, here, false) * (kDataCentres - 1);
+  }
+  EXPECT_LE(local, 1.5);
+  EXPECT_LE(remote, 0.75);
+}
+
+// Guards against an instance that may not probe a server at all, and so cannot
+// place requests there.
+TEST(InstanceSharesTest, EveryInstanceMayProbe) {
+  for (const bool is_advertised : {true, false}) {
+    InstanceShares shares = Shares(28, 2, is_advertised);
+    EXPECT_GT(ProbeShare(shares, here, true), 0.01);
+    EXPECT_GT(ProbeShare(shares, DataCentreId("empty"), false), 0.01);
+    shares.instances[DataCentreId("there")] = 28;
+    shares.advertised_instances[DataCentreId("there")] = 2;
+    EXPECT_GT(ProbeShare(shares, DataCentreId("there"), false), 0.005);
+  }
+}
+
 // Guards against a cold server that gets the first request of every instance in
 // the same second (hunt of lscx-gate-grown, seed 637695590114: 13
 // requests, 12.8 are allowed).
