Simulate restarted instances that know no others in the usage tests

A restarted instance of UsageSim knew the number of all others at once, even if it was cut off, so no test covered what kAssumedInstances is for. It now knows itself until it is connected. The new test passes without a change of the limiter: 16 and 24 instances that are alone for 4 s, and 115 that are alone for 2 s and whose callers use six in each data centre, stay within the bound under four times the rate.

--- a/tests/limits/usage_limiter_test.cc
+++ b/tests/limits/usage_limiter_test.cc
@@ -19,6 +19,17 @@
   return (rate_per_s * 5 + burst) * 1.25 + 20;
 }
 
+/** Restarts all instances; for `alone`, each of them knows only itself. */
+void RestartAllAlone(UsageSim& sim, Duration alone) {
+  sim.RunFor(seconds(10));
+  sim.SetCutEverywhere(true);
+  for (int i = 0; i < sim.size(); ++i)
+    sim.Restart(i);
+  sim.RunFor(alone);
+  sim.SetCutEverywhere(false);
+  sim.RunFor(seconds(10));
+}
+
 // Guards against refusing callers of an account that is within its rate when
 // most of its requests arrive at a few of the instances.
 TEST(UsageLimiterTest, CallersWithinTheRateAreServed) {
@@ -92,6 +103,27 @@
   EXPECT_LE(sim.MaxAdmitted(kWindow), Bound(80, 80));
 }
 
+// Guards against instances that each admit too much after all of them were
+// restarted, because none knows the others yet. Callers use all instances of
+// the smaller fleets, and those with advertised addresses of the largest one.
+TEST(UsageLimiterTest, RestartOfAllAloneStaysWithinTheBound) {
+  UsageSim small(4, 4, 80, 80);
+  small.SetDemandEverywhere(20);
+  RestartAllAlone(small, seconds(4));
+  EXPECT_LE(small.MaxAdmitted(kWindow), Bound(80, 80));
+  UsageSim medium(4, 6, 80, 80);
+  medium.SetDemandEverywhere(13);
+  RestartAllAlone(medium, seconds(4));
+  EXPECT_LE(medium.MaxAdmitted(kWindow), Bound(80, 80));
+  UsageSim large(5, 23, 80, 80);
+  for (int data_centre = 0; data_centre < 5; ++data_centre) {
+    for (int i = 0; i < 6; ++i)
+      large.SetDemand(data_centre * 23 + i, 11);
+  }
+  RestartAllAlone(large, seconds(2));
+  EXPECT_LE(large.MaxAdmitted(kWindow), Bound(80, 80));
+}
+
 // Guards against the old rate staying in use after a version lowers it.
 TEST(UsageLimiterTest, LowerRateAppliesAtOnce) {
   UsageSim sim(4, 4, 80, 80);
--- a/tests/limits/usage_sim.cc
+++ b/tests/limits/usage_sim.cc
@@ -48,7 +48,7 @@
 
 void UsageSim::Adopt(Instance& instance) {
   instance.limiter.tolerance = {std::chrono::seconds(5), 0.25, 20};
-  RecordInstanceCount(instance.limiter.instances, size(), now_);
+  RecordInstanceCount(instance.limiter.instances, KnownTo(instance), now_);
   AdoptAccounts(instance.limiter, *version_, now_);
 }
 
@@ -65,12 +65,21 @@
   instances_.at(static_cast<size_t>(instance)).cut = cut;
 }
 
+void UsageSim::SetCutEverywhere(bool cut) {
+  for (Instance& instance : instances_)
+    instance.cut = cut;
+}
+
 void UsageSim::Restart(int instance) {
   Instance& one = instances_.at(static_cast<size_t>(instance));
   one.limiter = UsageLimiter();
   Adopt(one);
 }
 
+int UsageSim::KnownTo(const Instance& instance) const {
+  return instance.cut ? 1 : size();
+}
+
 /** An instance that is cut off is its own leader. */
 UsageSim::Instance& UsageSim::LeaderOf(Instance& instance) {
   if (instance.cut)
@@ -165,8 +174,7 @@
   while (now_ < end) {
     now_ += kTickInterval;
     for (Instance& instance : instances_) {
-      RecordInstanceCount(instance.limiter.instances, instance.cut ? 1 : size(),
-                          now_);
+      RecordInstanceCount(instance.limiter.instances, KnownTo(instance), now_);
       SetLeader(instance.limiter, &LeaderOf(instance) == &instance, now_);
       OfferRequests(instance);
     }
--- a/tests/limits/usage_sim.h
+++ b/tests/limits/usage_sim.h
@@ -23,6 +23,7 @@
   void SetDemandEverywhere(double per_s);
   /** Cuts an instance off from all others, or reconnects it. */
   void SetCut(int instance, bool cut);
+  void SetCutEverywhere(bool cut);
   void Restart(int instance);
   void RunFor(Duration duration);
 
@@ -45,6 +46,8 @@
   };
 
   void Adopt(Instance& instance);
+  /** How many instances it knows to run. */
+  int KnownTo(const Instance& instance) const;
   Instance& LeaderOf(Instance& instance);
   bool AskLeader(Instance& instance);
   void RefillPool(Instance& leader);
