Record two cases in which usage caps are exceeded

No fix: what an instance may admit while it is alone is taken from callers within their rate in every fleet, also in the usual restart of a small one.

--- a/tests/limits/usage_limiter_test.cc
+++ b/tests/limits/usage_limiter_test.cc
@@ -124,6 +124,29 @@
   EXPECT_LE(large.MaxAdmitted(kWindow), Bound(80, 80));
 }
 
+// Guards against instances of a large fleet that each admit too much after all
+// of them were restarted, if callers use all of them.
+TEST(UsageLimiterTest, RestartOfALargeFleetStaysWithinTheBound) {
+  UsageSim sim(5, 23, 80, 80);
+  sim.SetDemandEverywhere(2.8);
+  RestartAllAlone(sim, seconds(2));
+  EXPECT_LE(sim.MaxAdmitted(kWindow), Bound(80, 80));
+}
+
+// Guards against instances that are cut off for long and each admit the full
+// rate.
+TEST(UsageLimiterTest, InstancesCutOffForLongStayWithinTheBound) {
+  UsageSim sim(5, 23, 80, 80);
+  sim.SetDemandEverywhere(2.8);
+  sim.RunFor(seconds(10));
+  for (int i = 0; i < 4; ++i) {
+    sim.SetCut(i, true);
+    sim.SetDemand(i, 80);
+  }
+  sim.RunFor(seconds(45));
+  EXPECT_LE(sim.MaxAdmitted(kWindow), Bound(80, 80));
+}
+
 // Guards against the old rate staying in use after a version lowers it.
 TEST(UsageLimiterTest, LowerRateAppliesAtOnce) {
   UsageSim sim(4, 4, 80, 80);
