Keep the retry slack from being saved up over many windows

What servers would see: after a quiet time, more retries in one window than the budget of the fleet allows.

Cause: the limit on saved retries covered those from requests and from the slack together, so an instance without retries saved four from the slack beside its half of a share. In a fleet of 116 these are over 500.

Evidence: RetryTableTest.SlackIsNotSavedUpOverManyWindows on the code before: 116 instances made 533.6 retries beyond the ratio in 10 s after two minutes without requests; 186 are allowed.

Both are now counted separately, and the slack saves up half of a share, or one retry where that is less, because a fraction of one is of no use to a service with few requests.

--- a/src/process/servers/retry_table.cc
+++ b/src/process/servers/retry_table.cc
@@ -14,7 +14,7 @@
 // window, and an instance's requests and retries can fall into different
 // windows.
 constexpr double kUsedFraction = 0.85;
-// Retries that requests can save up, beyond half of the slack.
+// Retries that requests can save up.
 constexpr double kMaxSavedRetries = 4;
 
 /** The budget at `now`: counts older than the previous second are dropped. */
@@ -51,7 +51,7 @@
 }
 
 void CountRequest(RetryShare& share, const RetryPolicy& policy) {
-  share.retries += policy.ratio * kUsedFraction;
+  share.from_requests += policy.ratio * kUsedFraction;
 }
 
 bool MayRetry(RetryShare& share,
@@ -62,15 +62,21 @@
       kUsedFraction * policy.fleet_slack / division.instances.count;
   const TimePoint from = std::max(share.slack_added_until, division.from);
   if (now > from) {
-    share.retries += slack / 2 * (Seconds(now - from) / Seconds(policy.window));
+    share.from_slack +=
+        slack / 2 * (Seconds(now - from) / Seconds(policy.window));
     share.slack_added_until = now;
   }
-  share.retries = std::min(share.retries, slack / 2 + kMaxSavedRetries);
-  return share.retries >= 1;
+  share.from_requests = std::min(share.from_requests, kMaxSavedRetries);
+  share.from_slack = std::min(share.from_slack, std::max(1.0, slack / 2));
+  return share.from_requests + share.from_slack >= 1;
 }
 
 void CountRetry(RetryShare& share) {
-  share.retries -= 1;
+  // Retries from requests are used first, since they cannot be saved up beyond
+  // a few, and the rest is taken from the slack.
+  const double from_requests = std::min(share.from_requests, 1.0);
+  share.from_requests -= from_requests;
+  share.from_slack -= 1 - from_requests;
 }
 
 void BeginRequest(RetryTable& table, const ServiceId& service, TimePoint now) {
--- a/src/process/servers/retry_table.h
+++ b/src/process/servers/retry_table.h
@@ -38,10 +38,13 @@
 /**
  * This instance's share of a RetryPolicy. Each request adds a fraction of a
  * retry. Half of the share of the slack is added evenly over each window, and
- * as much can be saved up.
+ * as much, or one retry, can be saved up.
  */
 struct RetryShare {
-  double retries = 0;
+  /** Retries that requests have added. */
+  double from_requests = 0;
+  /** Retries that the slack has added. */
+  double from_slack = 0;
   TimePoint slack_added_until{};
 };
 
--- a/tests/routing/retry_table_test.cc
+++ b/tests/routing/retry_table_test.cc
@@ -57,6 +57,12 @@
     }
   }
 
+  /** Lets time pass without requests. */
+  void Pause(seconds duration) {
+    now_ += duration;
+    window_.clear();
+  }
+
   /** Most retries beyond the ratio in any window of the policy. */
   double max_beyond_ratio() const { return max_beyond_ratio_; }
 
@@ -97,6 +103,16 @@
   EXPECT_LE(fleet.max_beyond_ratio(), 186);
 }
 
+// Guards against instances that save up slack over many windows without retries
+// and use all of it in one.
+TEST(RetryTableTest, SlackIsNotSavedUpOverManyWindows) {
+  RetryFleet fleet;
+  fleet.RunFor(seconds(20), kInstances, 1);
+  fleet.Pause(seconds(120));
+  fleet.RunFor(seconds(10), kInstances, 1);
+  EXPECT_LE(fleet.max_beyond_ratio(), 186);
+}
+
 // Guards against a slack that no instance may use: a failed request of a
 // service with few requests then gets no second server.
 TEST(RetryTableTest, SlackIsUsedOnceTheInstancesKnowEachOther) {
