--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -392,12 +392,13 @@
   const int instance_count = static_cast<int>(view->live.size());
   {
     OrderedLock lock(tables_.usage.mutex);
-    SetInstanceCount(tables_.usage.limiter, instance_count, now);
+    RecordInstanceCount(tables_.usage.limiter.instances, instance_count, now);
     SetLeader(tables_.usage.limiter, view->rank == 0, now);
   }
   tokens_.RefillPools(*view);
   UpdateShares(*view, now);
-  SetInstanceCount(retry_table_, instance_count);
+  SetInstanceCount(tables_.servers, instance_count, now);
+  SetInstanceCount(retry_table_, instance_count, now);
   SendHeartbeats(actions.heartbeats, *view);
   UpdateLinks(std::move(actions.links));
   store_feed_.Tick(now);
--- a/src/process/servers/retry_table.cc
+++ b/src/process/servers/retry_table.cc
@@ -1,7 +1,6 @@
 #include "process/servers/retry_table.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace mangodoor {
 namespace {
@@ -15,7 +14,7 @@
 // window, and an instance's requests and retries can fall into different
 // windows.
 constexpr double kUsedFraction = 0.85;
-// Retries that requests can save up, beyond half of the slack.
+// Retries that requests can save up.
 constexpr double kMaxSavedRetries = 4;
 
 /** The budget at `now`: counts older than the previous second are dropped. */
@@ -52,29 +51,32 @@
 }
 
 void CountRequest(RetryShare& share, const RetryPolicy& policy) {
-  share.retries += policy.ratio * kUsedFraction;
+  share.from_requests += policy.ratio * kUsedFraction;
 }
 
 bool MayRetry(RetryShare& share,
               const RetryPolicy& policy,
-              int instances,
+              const SlackDivision& division,
               TimePoint now) {
   const double slack =
-      kUsedFraction * policy.fleet_slack / std::max(1, instances);
-  if (!std::exchange(share.started, true)) {
-    share.updated = now;
-    share.retries += slack / 2;
+      kUsedFraction * policy.fleet_slack / division.instances.count;
+  const TimePoint from = std::max(share.slack_added_until, division.from);
+  if (now > from) {
+    share.from_slack +=
+        slack / 2 * (Seconds(now - from) / Seconds(policy.window));
+    share.slack_added_until = now;
   }
-  const double windows = std::chrono::duration<double>(now - share.updated) /
-                         std::chrono::duration<double>(policy.window);
-  share.updated = now;
-  share.retries += slack / 2 * windows;
-  share.retries = std::min(share.retries, slack / 2 + kMaxSavedRetries);
-  return share.retries >= 1;
+  share.from_requests = std::min(share.from_requests, kMaxSavedRetries);
+  share.from_slack = std::min(share.from_slack, std::max(1.0, slack / 2));
+  return share.from_requests + share.from_slack >= 1;
 }
 
 void CountRetry(RetryShare& share) {
-  share.retries -= 1;
+  // Retries from requests are used first, since they cannot be saved up beyond
+  // a few, and the rest is taken from the slack.
+  const double from_requests = std::min(share.from_requests, 1.0);
+  share.from_requests -= from_requests;
+  share.from_slack -= 1 - from_requests;
 }
 
 void BeginRequest(RetryTable& table, const ServiceId& service, TimePoint now) {
@@ -85,16 +87,21 @@
     CountRequest(table.budget, now);
 }
 
-void SetInstanceCount(RetryTable& table, int instances) {
+void SetInstanceCount(RetryTable& table, int known, TimePoint now) {
   OrderedLock lock(table.mutex);
-  table.instances = instances;
+  // A process that has just started may not know the other instances yet, and
+  // does not know how much of its share the previous process has used.
+  if (table.policy)
+    table.division.from =
+        std::min(table.division.from, now + table.policy->window);
+  RecordInstanceCount(table.division.instances, known, now);
 }
 
 bool TakeRetry(RetryTable& table, const ServiceId& service, TimePoint now) {
   OrderedLock lock(table.mutex);
   if (table.policy) {
     RetryShare& share = table.shares[service];
-    const bool allowed = MayRetry(share, *table.policy, table.instances, now);
+    const bool allowed = MayRetry(share, *table.policy, table.division, now);
     if (allowed)
       CountRetry(share);
     return allowed;
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -82,6 +82,7 @@
     RemoveFromService(pool, entry);
     ResetEntry(entry);
     entry.cold_window = std::move(cold_window);
+    entry.probe_tokens_refilled_at = now;
   }
   entry.id = record.id;
   entry.discovered = true;
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "process/fleet/instance_count.h"
 #include "process/servers/cold_start.h"
 #include "process/servers/cold_window.h"
 #include "process/servers/fair_queue.h"
@@ -15,6 +16,7 @@
 #include "process/servers/latency.h"
 #include "process/servers/load_estimate.h"
 #include "process/servers/outlier.h"
+#include "process/servers/probe_credit.h"
 #include "process/servers/probe_schedule.h"
 #include "process/servers/server_record.h"
 #include "process/servers/server_request.h"
@@ -117,6 +119,7 @@
   WorkModel work_model;
   /** Requests that wait for placement on a server that reports its load. */
   std::vector<Waiter> placement_queue;
+  ProbeCredit probe_credit;
 };
 
 /** A decision on a waiting request whose callback has not run yet. */
@@ -137,6 +140,11 @@
   /** Taken out of service by an operator's command, not by the version. */
   std::set<DataCentreId> data_centres_out;
   InstanceShares shares;
+  /**
+   * Instances among which the connections of a server are divided; `shares` may
+   * have fewer.
+   */
+  InstanceCount instance_count;
   uint64_t last_ticket = 0;
   /** Decisions on waiting requests, returned with the next actions. */
   std::vector<Decision> pending_decisions;
--- a/tests/connection/cold_server_test.cc
+++ b/tests/connection/cold_server_test.cc
@@ -26,6 +26,7 @@
     Apply(MakeVersion(std::move(document), "2", ""));
     InstanceShares shares;
     shares.instances = {{DataCentreId("dc"), 1}};
+    shares.cold.own_data_centre = 1;
     SetInstanceShares(tables_.servers, shares);
     ApplyRecord(Duration::zero());
     ProbeResult without_load;
