Log cold phases, and the counts behind the shares of an instance

No behaviour changes.

server_cold and server_warm are written when this instance begins and ceases to regard a server as cold, shares_changed when the counts change. Decisions collect events in ServerActions; the io layer writes them.

The phase counts its requests itself, not with the times in ColdWindow: those decide what may be sent, and may come to include requests sent before the phase.

Metrics and the status have the cold servers, the requests sent to them, and the share of a server of the own data centre. Requests not sent because of the limit are not counted: the limit is checked several times for each waiting request, tick and page, so a count of these checks would say nothing about requests.

Reserve takes the pool, which counts the requests sent to cold servers.

--- a/src/process/io/action_runner.cc
+++ b/src/process/io/action_runner.cc
@@ -4,8 +4,10 @@
 
 namespace mangodoor {
 
-ActionRunner::ActionRunner(PeerTransport& peers, ProbeCallback probe)
-    : peers_(peers), probe_(std::move(probe)) {}
+ActionRunner::ActionRunner(PeerTransport& peers,
+                           ProbeCallback probe,
+                           ColdEventCallback log_cold)
+    : peers_(peers), probe_(std::move(probe)), log_cold_(std::move(log_cold)) {}
 
 void ActionRunner::Run(const AccountActions& actions) {
   for (const OutgoingMessage& outgoing : actions.messages)
@@ -24,6 +26,8 @@
     probe_(server);
   for (const auto& callback : actions.callbacks)
     callback();
+  if (log_cold_ && !actions.cold_events.empty())
+    log_cold_(actions.cold_events);
 }
 
 void ActionRunner::SendReports() {
--- a/src/process/io/action_runner.h
+++ b/src/process/io/action_runner.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <unordered_map>
+#include <vector>
 
 #include "process/accounts/account_table.h"
 #include "process/ordered_mutex.h"
@@ -18,8 +19,13 @@
 class ActionRunner {
  public:
   using ProbeCallback = std::function<void(const ChosenServer&)>;
+  using ColdEventCallback =
+      std::function<void(const std::vector<ColdPhaseEvent>&)>;
 
-  ActionRunner(PeerTransport& peers, ProbeCallback probe);
+  /** `log_cold` may be empty if no server registers itself. */
+  ActionRunner(PeerTransport& peers,
+               ProbeCallback probe,
+               ColdEventCallback log_cold = {});
 
   void Run(const AccountActions& actions);
   void Run(const ServerActions& actions);
@@ -33,6 +39,7 @@
  private:
   PeerTransport& peers_;
   ProbeCallback probe_;
+  ColdEventCallback log_cold_;
   OrderedMutex mutex_{LockRank::kPeer};
   /** The latest report on each backend server, until SendReports sends it. */
   std::unordered_map<BackendServerId, ServerReport> unsent_reports_;
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -19,9 +19,11 @@
 #include "process/fleet/capacity_shares.h"
 #include "process/fleet/fleet_table.h"
 #include "process/io/action_runner.h"
+#include "process/io/cold_server_log.h"
 #include "process/io/early_signals.h"
 #include "process/io/log.h"
 #include "process/io/settings.h"
+#include "process/io/shares_log.h"
 #include "process/io/store_feed.h"
 #include "process/io/ticker.h"
 #include "process/peers/io/peer_connection_manager.h"
@@ -137,6 +139,9 @@
   Feed feed_;
   RetryTable retry_table_;
   RequestLog request_log_{clock_};
+  ColdServerLog cold_server_log_{clock_};
+  /** Used only by TickMembers, without a lock. */
+  SharesLog shares_log_{clock_};
   WorkerPool pool_;
   PeerConnectionManager peers_;
   TokenExchange tokens_;
@@ -173,8 +178,12 @@
              clock_,
              tables_.counters),
       tokens_(tables_.usage, fleet_, peers_, clock_),
-      actions_(peers_,
-               [this](const ChosenServer& server) { prober_.Probe(server); }),
+      actions_(
+          peers_,
+          [this](const ChosenServer& server) { prober_.Probe(server); },
+          [this](const std::vector<ColdPhaseEvent>& events) {
+            cold_server_log_.Write(events);
+          }),
       store_feed_(
           {feed_, fleet_, tables_, peers_, actions_, clock_, settings.self},
           platform,
@@ -393,9 +402,10 @@
     SetLeader(tables_.usage.limiter, view->rank == 0, now);
   }
   tokens_.RefillPools(*view);
-  SetInstanceShares(
-      tables_.servers,
-      ComputeInstanceShares(*view, RequestRatePerDataCentre(*view)));
+  const InstanceShares shares =
+      ComputeInstanceShares(*view, RequestRatePerDataCentre(*view));
+  SetInstanceShares(tables_.servers, shares);
+  shares_log_.Write(shares, view->self.data_centre);
   SetInstanceCount(retry_table_, instance_count);
   SendHeartbeats(actions.heartbeats, *view);
   UpdateLinks(std::move(actions.links));
--- a/src/process/io/log.cc
+++ b/src/process/io/log.cc
@@ -63,6 +63,11 @@
 
 }  // namespace
 
+double Rounded(double number) {
+  constexpr double kSteps = 10000;
+  return std::round(number * kSteps) / kSteps;
+}
+
 double Milliseconds(Duration duration) {
   // A tenth of a millisecond is precise enough, and keeps lines short.
   const double tenths =
--- a/src/process/io/log.h
+++ b/src/process/io/log.h
@@ -35,6 +35,9 @@
   Value value;
 };
 
+/** A number as logged, with four decimal places. */
+double Rounded(double number);
+
 /** A duration as logged in fields whose names end in `_ms`. */
 double Milliseconds(Duration duration);
 
--- a/src/process/servers/instance_shares.cc
+++ b/src/process/servers/instance_shares.cc
@@ -17,6 +17,24 @@
 
 }  // namespace
 
+bool operator==(const ShareCounts& a, const ShareCounts& b) {
+  return a.instances == b.instances &&
+         a.advertised_instances == b.advertised_instances &&
+         a.all_instances == b.all_instances &&
+         a.is_advertised == b.is_advertised;
+}
+
+bool operator!=(const ShareCounts& a, const ShareCounts& b) {
+  return !(a == b);
+}
+
+ShareCounts CountsOf(const InstanceShares& shares,
+                     const DataCentreId& data_centre) {
+  return {CountIn(shares.instances, data_centre),
+          CountIn(shares.advertised_instances, data_centre),
+          TotalInstances(shares), shares.is_advertised};
+}
+
 int TotalInstances(const InstanceShares& shares) {
   int all = 0;
   for (const auto& [data_centre, count] : shares.instances)
--- a/src/process/servers/instance_shares.h
+++ b/src/process/servers/instance_shares.h
@@ -25,6 +25,24 @@
   double phase = 0;
 };
 
+/** The counts that OwnShare() uses for servers of one data centre. */
+struct ShareCounts {
+  /** Running instances of the data centre. */
+  int instances = 0;
+  /** Those of them whose addresses are advertised. */
+  int advertised_instances = 0;
+  /** Running instances of the fleet. */
+  int all_instances = 0;
+  /** True if this instance is advertised, in whichever data centre it is. */
+  bool is_advertised = false;
+};
+
+bool operator==(const ShareCounts& a, const ShareCounts& b);
+bool operator!=(const ShareCounts& a, const ShareCounts& b);
+
+ShareCounts CountsOf(const InstanceShares& shares,
+                     const DataCentreId& data_centre);
+
 /** Number of running instances in the fleet, at least 1. */
 int TotalInstances(const InstanceShares& shares);
 
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -337,7 +337,7 @@
                         server->load_estimate.slowness,
                         IsNearFull(RequestsAt(*server), server->slots),
                         now - server->load_estimate.at};
-    Reserve(*server, now);
+    Reserve(pool, *server, now);
     AddDecision(pool, waiter, std::move(chosen));
   }
   DropDecided(service);
@@ -357,8 +357,10 @@
                           const ProbeResult& result,
                           TimePoint now) {
   server.probe_in_flight = false;
-  if (result.cold_remaining)
+  if (result.cold_remaining) {
     SetColdFor(server.cold_window, *result.cold_remaining, now);
+    UpdateColdPhase(pool, server, ColdCause::kProbe, now);
+  }
   if (!result.answered || result.other_server) {
     const int doublings =
         std::min(server.unanswered_probes++, kMaxProbeBackOffDoublings);
--- a/src/process/servers/server_choice.cc
+++ b/src/process/servers/server_choice.cc
@@ -199,7 +199,7 @@
 
 }  // namespace
 
-ServerEntry* ReserveServer(const ServerPool& pool,
+ServerEntry* ReserveServer(ServerPool& pool,
                            ServiceEntry& service,
                            const ServerRequirements& requirements,
                            TimePoint now,
@@ -214,7 +214,7 @@
   else if (!groups.cold.empty())
     server = PickBest(service, groups.cold, now, random);
   if (server)
-    Reserve(*server, now);
+    Reserve(pool, *server, now);
   return server;
 }
 
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -44,6 +44,7 @@
                       entry.endpoint != record.endpoint ||
                       entry.service != record.service;
   if (is_new) {
+    EndColdPhase(pool, entry, ColdCause::kRemoved, now);
     RemoveFromService(pool, entry);
     ResetEntry(entry);
   }
@@ -57,22 +58,18 @@
   entry.record_is_draining = record.draining;
   SetColdFor(entry.cold_window, record.cold_remaining, now);
   UpdateDataCentreState(pool, entry);
+  UpdateColdPhase(pool, entry, ColdCause::kRecord, now);
   AddToService(pool, entry);
 }
 
-/**
- * The rate limit of a cold server is divided among the instances of its data
- * centre. Instances of other data centres send nothing to it, unless its data
- * centre has no instance.
- */
 bool MaySendToCold(const ServerPool& pool,
                    const ServiceEntry& service,
                    const ServerEntry& server,
                    TimePoint now) {
-  if (!server.own_data_centre && HasInstance(pool.shares, server.data_centre))
+  const double share = ColdShare(pool, server);
+  if (share == 0)
     return false;
-  const double rate_per_s =
-      service.cold_rate_per_s * OwnShare(pool.shares, server.data_centre);
+  const double rate_per_s = service.cold_rate_per_s * share;
   return MaySendCold(server.cold_window, {rate_per_s, pool.shares.phase}, now);
 }
 
@@ -93,6 +90,7 @@
     ServerEntry* entry = FindServer(pool, id);
     if (!entry || !entry->discovered)
       continue;
+    EndColdPhase(pool, *entry, ColdCause::kRemoved, now);
     RemoveFromService(pool, *entry);
     entry->listed = false;
     if (entry->outstanding == 0)
@@ -163,6 +161,15 @@
       [](const ServerEntry* a, const ServerEntry* b) { return a->id < b->id; });
 }
 
+// The rate limit of a cold server is divided among the instances of its data
+// centre. Instances of other data centres send nothing to it, unless its data
+// centre has no instance.
+double ColdShare(const ServerPool& pool, const ServerEntry& server) {
+  if (!server.own_data_centre && HasInstance(pool.shares, server.data_centre))
+    return 0;
+  return OwnShare(pool.shares, server.data_centre);
+}
+
 int DiscoveredAllowance(const ServerPool& pool,
                         const ServiceEntry& service,
                         const ServerEntry& server,
--- a/src/process/servers/server_feedback.cc
+++ b/src/process/servers/server_feedback.cc
@@ -318,10 +318,12 @@
 }
 
 /** Expires reported states, ejects the server if slow, adds a due probe. */
-void TickServer(const ServerPool& pool, Feedback& feedback) {
+void TickServer(ServerPool& pool, Feedback& feedback) {
   ServerEntry& server = feedback.server;
   ServiceEntry& service = feedback.service;
   const TimePoint now = feedback.now;
+  if (server.cold_phase)
+    UpdateColdPhase(pool, server, ColdCause::kElapsed, now);
   if (server.draining_at && now - *server.draining_at >= service.cold_max)
     server.draining_at.reset();
   if (EndColdAfterTimeout(server.cold_start, LimitsOf(service, server), now))
--- a/src/process/servers/server_pool.cc
+++ b/src/process/servers/server_pool.cc
@@ -125,10 +125,17 @@
   for (ChosenServer& server : pool.pending_probes)
     actions.probes.push_back(std::move(server));
   pool.pending_probes.clear();
+  for (ColdPhaseEvent& event : pool.pending_cold_events)
+    actions.cold_events.push_back(std::move(event));
+  pool.pending_cold_events.clear();
 }
 
-void Reserve(ServerEntry& server, TimePoint now) {
+void Reserve(ServerPool& pool, ServerEntry& server, TimePoint now) {
   RecordSent(server.cold_window, now);
+  if (server.cold_phase && IsCold(server.cold_window, now)) {
+    CountRequest(*server.cold_phase, now);
+    ++pool.cold_requests;
+  }
   ++server.outstanding;
   server.starts.push_back(now);
 }
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "process/servers/cold_phase.h"
 #include "process/servers/cold_start.h"
 #include "process/servers/cold_window.h"
 #include "process/servers/fair_queue.h"
@@ -74,6 +75,8 @@
   int64_t incarnation = 0;
   bool record_is_draining = false;
   ColdWindow cold_window;
+  /** Set while the server is regarded as cold. */
+  std::optional<ColdPhase> cold_phase;
   LoadEstimate load_estimate;
   bool probe_in_flight = false;
   /** Token bucket of the probes that this instance may send. */
@@ -131,6 +134,10 @@
   std::vector<Decision> pending_decisions;
   /** Servers to probe, returned with the next actions. */
   std::vector<ChosenServer> pending_probes;
+  /** Changes of cold phases, returned with the next actions. */
+  std::vector<ColdPhaseEvent> pending_cold_events;
+  /** Requests sent to servers while they were cold, since the start. */
+  uint64_t cold_requests = 0;
   /** Limit on the probes of one server by all instances. */
   double probes_per_s = 0;
   /** Limit on the length of each placement queue. */
@@ -154,6 +161,12 @@
                         const ServerEntry& server,
                         TimePoint now);
 
+/**
+ * This instance's share of the rate limit of a cold server that registers
+ * itself. 0 for a server of another data centre that has instances of its own.
+ */
+double ColdShare(const ServerPool& pool, const ServerEntry& server);
+
 /** Applies the settings of a service whose servers register themselves. */
 void ApplyDiscoveredService(ServerPool& pool,
                             ServiceEntry& service,
@@ -174,7 +187,7 @@
 ServiceEntry* FindService(ServerPool& pool, const ServiceId& service);
 
 /** Reserves a server for a request, or returns null if none is free. */
-ServerEntry* ReserveServer(const ServerPool& pool,
+ServerEntry* ReserveServer(ServerPool& pool,
                            ServiceEntry& service,
                            const ServerRequirements& requirements,
                            TimePoint now,
@@ -184,8 +197,8 @@
                             const ServerEntry& server,
                             TimePoint now);
 
-/** Counts one more outstanding request at the server. */
-void Reserve(ServerEntry& server, TimePoint now);
+/** Counts one more request that is sent to the server. */
+void Reserve(ServerPool& pool, ServerEntry& server, TimePoint now);
 
 /** True if requests for the service are placed by load; see placement.h. */
 bool UsesPlacement(const ServiceEntry& service);
@@ -204,7 +217,7 @@
                  Waiter& waiter,
                  std::variant<ChosenServer, ErrorKind> decision);
 
-/** Moves the pending decisions and probes into `actions`. */
+/** Moves what is pending in the pool into `actions`. */
 void TakeDecisions(ServerPool& pool, ServerActions& actions);
 
 // The functions of server_table.h, without the lock.
@@ -249,6 +262,7 @@
                                   const std::vector<ServerReport>& reports,
                                   TimePoint now);
 std::vector<ServerStatus> ServerStatuses(const ServerPool& pool, TimePoint now);
+ColdServersStatus StatusOfColdServers(const ServerPool& pool, TimePoint now);
 std::vector<ServerReport> KnownServerStates(const ServerPool& pool,
                                             TimePoint now);
 ServerActions TickServers(ServerPool& pool, TimePoint now);
--- a/src/process/servers/server_request.h
+++ b/src/process/servers/server_request.h
@@ -8,6 +8,7 @@
 
 #include "process/clock.h"
 #include "process/error_kind.h"
+#include "process/servers/cold_phase.h"
 #include "process/servers/load_estimate.h"
 #include "process/servers/server_state.h"
 #include "process/servers/work_model.h"
@@ -38,6 +39,8 @@
   std::vector<ServerReport> reports;
   /** Backend servers to probe now. */
   std::vector<ChosenServer> probes;
+  /** Beginnings and ends of cold phases, for logs. */
+  std::vector<ColdPhaseEvent> cold_events;
 };
 
 /** What a request requires of a server. */
--- a/src/process/servers/server_status.cc
+++ b/src/process/servers/server_status.cc
@@ -159,6 +159,18 @@
   return statuses;
 }
 
+ColdServersStatus StatusOfColdServers(const ServerPool& pool, TimePoint now) {
+  ColdServersStatus status;
+  for (const auto& [id, service] : pool.services) {
+    for (const ServerEntry* server : service.servers)
+      status.cold += IsCold(server->cold_window, now) ? 1 : 0;
+  }
+  status.requests = pool.cold_requests;
+  status.counts = CountsOf(pool.shares, pool.own_data_centre);
+  status.share = OwnShare(pool.shares, pool.own_data_centre);
+  return status;
+}
+
 std::vector<ServerReport> KnownServerStates(const ServerPool& pool,
                                             TimePoint now) {
   std::vector<ServerReport> reports;
--- a/src/process/servers/server_table.cc
+++ b/src/process/servers/server_table.cc
@@ -98,6 +98,11 @@
   return ServerStatuses(table.pool, now);
 }
 
+ColdServersStatus StatusOfColdServers(const ServerTable& table, TimePoint now) {
+  OrderedLock lock(table.mutex);
+  return StatusOfColdServers(table.pool, now);
+}
+
 std::vector<ServerReport> KnownServerStates(const ServerTable& table,
                                             TimePoint now) {
   OrderedLock lock(table.mutex);
--- a/src/process/servers/server_table.h
+++ b/src/process/servers/server_table.h
@@ -94,6 +94,8 @@
 std::vector<ServerStatus> ServerStatuses(const ServerTable& table,
                                          TimePoint now);
 
+ColdServersStatus StatusOfColdServers(const ServerTable& table, TimePoint now);
+
 /** Server states known to this instance, for a newly connected peer. */
 std::vector<ServerReport> KnownServerStates(const ServerTable& table,
                                             TimePoint now);
--- a/src/process/status/fleet_status.h
+++ b/src/process/status/fleet_status.h
@@ -7,6 +7,7 @@
 
 #include "process/clock.h"
 #include "process/fleet/member.h"
+#include "process/status/status.h"
 
 namespace mangodoor {
 
@@ -41,6 +42,7 @@
   uint64_t entries_refused = 0;
   /** Requests per second received by the whole fleet, as known here. */
   double requests_per_s = 0;
+  ColdServersStatus cold_servers;
   /** The other instances, including those that are gone, sorted by id. */
   std::vector<MemberStatus> members;
 };
@@ -51,7 +53,10 @@
   const Feed& feed;
 };
 
-/** Reads the tables one after the other, with one lock held at a time. */
+/**
+ * Reads the tables one after the other, with one lock held at a time. Leaves
+ * `cold_servers` empty.
+ */
 FleetStatus CollectFleetStatus(const FleetTables& tables, TimePoint now);
 
 }  // namespace mangodoor
--- a/src/process/status/instance_status.cc
+++ b/src/process/status/instance_status.cc
@@ -71,8 +71,10 @@
             [](const AccountStatus& a, const AccountStatus& b) {
               return a.client_account < b.client_account;
             });
-  if (fleet)
+  if (fleet) {
     status.fleet = CollectFleetStatus(*fleet, now);
+    status.fleet->cold_servers = StatusOfColdServers(tables.servers, now);
+  }
   return status;
 }
 
--- a/src/process/status/io/metrics.cc
+++ b/src/process/status/io/metrics.cc
@@ -168,6 +168,24 @@
       .Set(reachable);
 }
 
+void AddColdServerMetrics(Registry& registry, const ColdServersStatus& status) {
+  AddGauges(registry, "mangodoor_cold_servers",
+            "Backend servers that report that they are cold, as seen here.")
+      .Add({})
+      .Set(status.cold);
+  prometheus::BuildCounter()
+      .Name("mangodoor_cold_requests_total")
+      .Help("Requests for which a cold backend server was chosen.")
+      .Register(registry)
+      .Add({})
+      .Increment(static_cast<double>(status.requests));
+  AddGauges(registry, "mangodoor_cold_share",
+            "Share of this instance in the rate limit of a cold server of its "
+            "data centre.")
+      .Add({})
+      .Set(status.share);
+}
+
 void AddFleetMetrics(Registry& registry, const FleetStatus& fleet) {
   prometheus::BuildCounter()
       .Name("mangodoor_entries_refused_total")
@@ -199,6 +217,7 @@
             "1 while this instance reads the store for its data centre.")
       .Add({})
       .Set(fleet.reads_store ? 1 : 0);
+  AddColdServerMetrics(registry, fleet.cold_servers);
 }
 
 void AddServerGauges(Registry& registry,
--- a/src/process/status/io/status_codec.cc
+++ b/src/process/status/io/status_codec.cc
@@ -188,6 +188,28 @@
   return status;
 }
 
+Json EncodeColdServers(const ColdServersStatus& status) {
+  return {{"cold", status.cold},
+          {"requests", status.requests},
+          {"share", status.share},
+          {"instances", status.counts.instances},
+          {"advertised", status.counts.advertised_instances},
+          {"all_instances", status.counts.all_instances},
+          {"is_advertised", status.counts.is_advertised}};
+}
+
+ColdServersStatus DecodeColdServers(const Json& json) {
+  ColdServersStatus status;
+  status.cold = json.at("cold");
+  status.requests = json.at("requests");
+  status.share = json.at("share");
+  status.counts.instances = json.at("instances");
+  status.counts.advertised_instances = json.at("advertised");
+  status.counts.all_instances = json.at("all_instances");
+  status.counts.is_advertised = json.at("is_advertised");
+  return status;
+}
+
 Json EncodeFleet(const FleetStatus& fleet) {
   Json json = {{"rank", fleet.rank},
                {"store_revision", fleet.store_revision},
@@ -195,6 +217,7 @@
                {"reads_store", fleet.reads_store},
                {"entries_refused", fleet.entries_refused},
                {"calls_per_s", fleet.requests_per_s},
+               {"cold_servers", EncodeColdServers(fleet.cold_servers)},
                {"members", Json::array()}};
   if (fleet.store_age)
     json["store_age_ms"] = Milliseconds(*fleet.store_age);
@@ -212,6 +235,7 @@
   fleet.reads_store = json.at("reads_store");
   fleet.entries_refused = json.at("entries_refused");
   fleet.requests_per_s = json.at("calls_per_s");
+  fleet.cold_servers = DecodeColdServers(json.at("cold_servers"));
   for (const Json& member : json.at("members"))
     fleet.members.push_back(DecodeMember(member));
   return fleet;
--- a/src/process/status/io/status_text.cc
+++ b/src/process/status/io/status_text.cc
@@ -55,6 +55,18 @@
   return FormatNumber(FloatMilliseconds(duration).count()) + " ms";
 }
 
+std::string FormatColdServers(const ColdServersStatus& status) {
+  const ShareCounts& counts = status.counts;
+  return "\ncold servers: " + std::to_string(status.cold) + " now, " +
+         std::to_string(status.requests) + " requests sent to cold ones" +
+         "\nshare of a cold server: " + FormatNumber(status.share * 100) +
+         "% (" + std::to_string(counts.advertised_instances) +
+         " advertised of " + std::to_string(counts.instances) +
+         " instances in the data centre, " +
+         std::to_string(counts.all_instances) + " in all; this one is " +
+         (counts.is_advertised ? "" : "not ") + "advertised)";
+}
+
 std::string FormatStoreAndFleet(const FleetStatus& fleet) {
   return "\nstore: revision " + std::to_string(fleet.store_revision) +
          (fleet.store_age ? ", known to be current " +
@@ -63,7 +75,7 @@
          (fleet.reads_store ? ", read by this instance" : "") +
          "\nfleet: rank " + std::to_string(fleet.rank) +
          " in the data centre, " + FormatNumber(fleet.requests_per_s) +
-         " requests a second";
+         " requests a second" + FormatColdServers(fleet.cold_servers);
 }
 
 std::string FormatSummary(const InstanceStatus& status) {
--- a/src/process/status/status.h
+++ b/src/process/status/status.h
@@ -7,6 +7,7 @@
 
 #include "process/membership/membership.h"
 #include "process/peers/peer_message.h"
+#include "process/servers/instance_shares.h"
 #include "process/servers/server_state.h"
 
 namespace mangodoor {
@@ -45,6 +46,18 @@
   int waiting = 0;
 };
 
+/** Cold servers that register themselves, as seen by this instance. */
+struct ColdServersStatus {
+  /** Servers that are cold now. */
+  int cold = 0;
+  /** Requests sent to servers while they were cold, since the start. */
+  uint64_t requests = 0;
+  /** This instance's share of the limit of a server of its data centre. */
+  double share = 0;
+  /** What `share` is computed from. */
+  ShareCounts counts;
+};
+
 /** Another instance of a fleet with an instance list, as seen by this one. */
 struct PeerStatus {
   Instance instance;
--- a/tests/operators/documentation_test.cc
+++ b/tests/operators/documentation_test.cc
@@ -137,6 +137,16 @@
   EXPECT_THAT(text, HasSubstr("mangodoor_request_seconds_sum 9.154\n"));
 }
 
+// Guards against metrics of cold servers that differ from the status.
+TEST(MetricsTest, ColdServersAreShown) {
+  InstanceStatus status;
+  status.fleet.emplace().cold_servers = {3, 14, 0.25, {24, 4, 72, true}};
+  const std::string text = MetricsText(Counters(), status);
+  EXPECT_THAT(text, HasSubstr("\nmangodoor_cold_servers 3\n"));
+  EXPECT_THAT(text, HasSubstr("\nmangodoor_cold_requests_total 14\n"));
+  EXPECT_THAT(text, HasSubstr("\nmangodoor_cold_share 0.25\n"));
+}
+
 void ExpectFields(const Json& schema, const Json& value, const char* what) {
   SCOPED_TRACE(what);
   std::set<std::string> in_schema;
--- a/tests/operators/status_test.cc
+++ b/tests/operators/status_test.cc
@@ -56,6 +56,7 @@
   fleet.reads_store = true;
   fleet.entries_refused = 7;
   fleet.requests_per_s = 87.5;
+  fleet.cold_servers = {3, 14, 0.25, {24, 4, 72, true}};
   MemberStatus member;
   member.member = {InstanceId("10.0.0.2:7101"),
                    DataCentreId("west"),
@@ -84,6 +85,10 @@
   ASSERT_TRUE(decoded.fleet);
   EXPECT_EQ(decoded.fleet->store_age, milliseconds(120));
   EXPECT_EQ(decoded.fleet->entries_refused, 7U);
+  EXPECT_EQ(decoded.fleet->cold_servers.cold, 3);
+  EXPECT_EQ(decoded.fleet->cold_servers.requests, 14U);
+  EXPECT_EQ(decoded.fleet->cold_servers.share, 0.25);
+  EXPECT_EQ(decoded.fleet->cold_servers.counts, (ShareCounts{24, 4, 72, true}));
   ASSERT_EQ(decoded.fleet->members.size(), 2U);
   EXPECT_EQ(decoded.fleet->members[0].member.state, MemberState::kLeaving);
   EXPECT_EQ(decoded.fleet->members[0].time_since_heard, milliseconds(30));
@@ -103,6 +108,16 @@
   EXPECT_THAT(text, Not(HasSubstr("instance list")));
 }
 
+// Guards against a table that does not show which counts the share of a cold
+// server follows from.
+TEST(StatusTextTest, FleetShowsTheShareOfAColdServer) {
+  EXPECT_THAT(FormatStatus(SampleFleetStatus()),
+              HasSubstr("cold servers: 3 now, 14 requests sent to cold ones\n"
+                        "share of a cold server: 25.0% (4 advertised of 24 "
+                        "instances in the data centre, 72 in all; this one is "
+                        "advertised)\n"));
+}
+
 // Guards against losing fields of the status when it is encoded and decoded.
 TEST(StatusCodecTest, RoundTripKeepsEveryField) {
   const std::string text = EncodeStatus(SampleStatus());
