Test the log of a cold server with real instances

A record of the store says that a server is cold; log and status of each instance have to show it. The stand-in server itself always reports that it is warm, so that a cold phase reported by a probe, and requests to a cold server, are tested without processes only.

--- a/tests/platform_fleet/platform_fleet_test.cc
+++ b/tests/platform_fleet/platform_fleet_test.cc
@@ -10,6 +10,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using ::testing::ContainsRegex;
 using ::testing::HasSubstr;
 using ::testing::IsEmpty;
 using ::testing::Not;
@@ -426,5 +427,38 @@
   }
 }
 
+// Guards against an instance whose log and status do not show which servers it
+// regards as cold, and which share it uses.
+TEST(PlatformFleetTest, ColdServerShowsInLogAndStatus) {
+  PlatformFleet fleet({});
+  ASSERT_TRUE(fleet.WaitUntilReady(kStartLimit));
+  fleet.PutItem(
+      "servers/i-cold",
+      R"({"Address":"127.0.0.1:80","Details":{"Service":"work",)"
+      R"("Version":"v1","Zone":"zone-0","Slots":2},"Status":{"State":"ready",)"
+      R"("Sequence":1,"ColdRemainingMs":4000},"born":1})");
+  const auto all_see_cold_servers = [&fleet](int count) {
+    for (int i = 0; i < fleet.instances(); ++i) {
+      if (fleet.StatusOf(i).fleet->cold_servers.cold != count)
+        return false;
+    }
+    return true;
+  };
+  EXPECT_TRUE(WaitFor([&] { return all_see_cold_servers(1); }, kStartLimit));
+  EXPECT_TRUE(WaitFor([&] { return all_see_cold_servers(0); }, kRecoveryLimit));
+  for (int i = 0; i < fleet.instances(); ++i) {
+    SCOPED_TRACE(i);
+    EXPECT_TRUE(WaitFor(
+        [&] { return fleet.LogOf(i).find("server_warm") != std::string::npos; },
+        kStartLimit));
+    const std::string log = fleet.LogOf(i);
+    EXPECT_THAT(log, HasSubstr("shares_changed"));
+    EXPECT_THAT(log, ContainsRegex("\"server_cold\",\"server\":\"i-cold\".*"
+                                   "\"told_by\":\"record\""));
+    EXPECT_THAT(log, ContainsRegex("\"server_warm\",\"server\":\"i-cold\".*"
+                                   "\"reason\":\"elapsed\""));
+  }
+}
+
 }  // namespace
 }  // namespace mangodoor
