Merge logs and metrics of cold servers

The lines and the status name the part that the leader granted, too. OwnShare() of the servers has no user any more: ShareOf() replaces it for cold servers, ProbeShare() for probes. Its tests now test these.

--- a/src/process/fleet/capacity_shares.cc
+++ b/src/process/fleet/capacity_shares.cc
@@ -12,6 +12,7 @@
 ColdShares ColdSharesOf(const CapacityGrant& grant,
                         const InstanceId& instance) {
   ColdShares shares;
+  shares.granted = grant.part;
   shares.own_data_centre = ShareOf(grant, instance);
   // All data centres divide the servers of one without instances.
   shares.elsewhere = shares.own_data_centre / grant.data_centres;
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -20,9 +20,11 @@
 #include "process/fleet/capacity_shares.h"
 #include "process/fleet/fleet_table.h"
 #include "process/io/action_runner.h"
+#include "process/io/cold_server_log.h"
 #include "process/io/early_signals.h"
 #include "process/io/log.h"
 #include "process/io/settings.h"
+#include "process/io/shares_log.h"
 #include "process/io/store_feed.h"
 #include "process/io/ticker.h"
 #include "process/peers/io/peer_connection_manager.h"
@@ -139,6 +141,9 @@
   Feed feed_;
   RetryTable retry_table_;
   RequestLog request_log_{clock_};
+  ColdServerLog cold_server_log_{clock_};
+  /** Used only by TickMembers, without a lock. */
+  SharesLog shares_log_{clock_};
   WorkerPool pool_;
   PeerConnectionManager peers_;
   TokenExchange tokens_;
@@ -175,8 +180,12 @@
              clock_,
              tables_.counters),
       tokens_(tables_.usage, fleet_, peers_, clock_),
-      actions_(peers_,
-               [this](const ChosenServer& server) { prober_.Probe(server); }),
+      actions_(
+          peers_,
+          [this](const ChosenServer& server) { prober_.Probe(server); },
+          [this](const std::vector<ColdPhaseEvent>& events) {
+            cold_server_log_.Write(events);
+          }),
       store_feed_(
           {feed_, fleet_, tables_, peers_, actions_, clock_, settings.self},
           platform,
@@ -411,9 +420,10 @@
   for (const auto& [data_centre, slots] : UsableSlots(tables_.servers, now))
     inputs.server_data_centres.insert(data_centre);
   RenewGrant(fleet_, inputs, now);
-  SetInstanceShares(tables_.servers,
-                    ComputeInstanceShares(view, CurrentGrant(fleet_, now),
-                                          inputs.requests_per_s));
+  const InstanceShares shares = ComputeInstanceShares(
+      view, CurrentGrant(fleet_, now), inputs.requests_per_s);
+  SetInstanceShares(tables_.servers, shares);
+  shares_log_.Write(shares, view.self.data_centre);
 }
 
 double FleetProcess::RequestRatePerDataCentre(const FleetView& view) const {
--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -17,10 +17,6 @@
 // count when it turns cold, which matters only for parts above this limit.
 constexpr size_t kMaxSentWhileWarm = 64;
 
-TimePoint EndOf(const ColdWindow& window) {
-  return std::max(window.until_by_probe, window.until_by_record);
-}
-
 void BeginUnlessCold(ColdWindow& window, TimePoint now) {
   if (!IsCold(window, now))
     window.began = now;
@@ -70,8 +66,12 @@
   window.until_by_record = now + remaining;
 }
 
+TimePoint ColdUntil(const ColdWindow& window) {
+  return std::max(window.until_by_probe, window.until_by_record);
+}
+
 bool IsCold(const ColdWindow& window, TimePoint now) {
-  return now < EndOf(window);
+  return now < ColdUntil(window);
 }
 
 bool IsRelevant(const ColdWindow& window, TimePoint now) {
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -38,6 +38,9 @@
 
 bool IsCold(const ColdWindow& window, TimePoint now);
 
+/** End of the current or latest cold phase. */
+TimePoint ColdUntil(const ColdWindow& window);
+
 /** True if the window limits requests to a server that is, or turns, cold. */
 bool IsRelevant(const ColdWindow& window, TimePoint now);
 
--- a/src/process/servers/instance_shares.cc
+++ b/src/process/servers/instance_shares.cc
@@ -42,22 +42,26 @@
 
 }  // namespace
 
-int TotalInstances(const InstanceShares& shares) {
-  return std::max(1, Sum(shares.instances));
+bool operator==(const ShareCounts& a, const ShareCounts& b) {
+  return a.instances == b.instances &&
+         a.advertised_instances == b.advertised_instances &&
+         a.all_instances == b.all_instances &&
+         a.is_advertised == b.is_advertised && a.granted == b.granted;
 }
 
-bool HasInstance(const InstanceShares& shares,
-                 const DataCentreId& data_centre) {
-  return CountIn(shares.instances, data_centre) > 0;
+bool operator!=(const ShareCounts& a, const ShareCounts& b) {
+  return !(a == b);
 }
 
-double OwnShare(const InstanceShares& shares, const DataCentreId& data_centre) {
-  const int instances = CountIn(shares.instances, data_centre);
-  const int advertised_instances =
-      CountIn(shares.advertised_instances, data_centre);
-  if (instances == 0)
-    return 1.0 / TotalInstances(shares);
-  return PartOf({instances, advertised_instances}, shares.is_advertised);
+ShareCounts CountsOf(const InstanceShares& shares,
+                     const DataCentreId& data_centre) {
+  return {CountIn(shares.instances, data_centre),
+          CountIn(shares.advertised_instances, data_centre),
+          TotalInstances(shares), shares.is_advertised, shares.cold.granted};
+}
+
+int TotalInstances(const InstanceShares& shares) {
+  return std::max(1, Sum(shares.instances));
 }
 
 // Instances of other data centres probe a server only for requests that are
--- a/src/process/servers/instance_shares.h
+++ b/src/process/servers/instance_shares.h
@@ -13,6 +13,11 @@
  * get; 0 without a grant of the leader of its data centre.
  */
 struct ColdShares {
+  /**
+   * Part of the limits that the leader granted to all instances of the data
+   * centre together; 0 without a grant.
+   */
+  double granted = 0;
   /** Share of the servers of its own data centre. */
   double own_data_centre = 0;
   /** Share of the servers of each of `unattended`. */
@@ -40,17 +45,28 @@
   double phase = 0;
 };
 
-/** Number of running instances in the fleet, at least 1. */
-int TotalInstances(const InstanceShares& shares);
+/** What this instance knows of the sharers of the servers of a data centre. */
+struct ShareCounts {
+  /** Running instances of the data centre. */
+  int instances = 0;
+  /** Those of them whose addresses are advertised. */
+  int advertised_instances = 0;
+  /** Running instances of the fleet. */
+  int all_instances = 0;
+  /** True if this instance is advertised, in whichever data centre it is. */
+  bool is_advertised = false;
+  /** ColdShares::granted. */
+  double granted = 0;
+};
 
-/** True if the data centre has a running instance. */
-bool HasInstance(const InstanceShares& shares, const DataCentreId& data_centre);
+bool operator==(const ShareCounts& a, const ShareCounts& b);
+bool operator!=(const ShareCounts& a, const ShareCounts& b);
 
-/**
- * This instance's share of the capacity of a server in the data centre, from 0
- * to 1. The shares of all instances of the data centre add up to at most 1.5.
- */
-double OwnShare(const InstanceShares& shares, const DataCentreId& data_centre);
+ShareCounts CountsOf(const InstanceShares& shares,
+                     const DataCentreId& data_centre);
+
+/** Number of running instances in the fleet, at least 1. */
+int TotalInstances(const InstanceShares& shares);
 
 /**
  * This instance's share of the probe budget of a server in the data centre,
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -383,7 +383,7 @@
                         server->load_estimate.slowness,
                         IsNearFull(RequestsAt(*server), server->slots),
                         now - server->load_estimate.at};
-    Reserve(*server, now);
+    Reserve(pool, *server, now);
     AddDecision(pool, waiter, std::move(chosen));
   }
   DropDecided(service);
@@ -410,8 +410,10 @@
     return;
   }
   server.unanswered_probes = 0;
-  if (result.cold_remaining)
+  if (result.cold_remaining) {
     SetColdByProbe(server.cold_window, *result.cold_remaining, now);
+    UpdateColdPhase(pool, server, ColdCause::kProbe, now);
+  }
   ServiceEntry* service = FindService(pool, server.service);
   if (!service)
     return;
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -78,6 +78,7 @@
                       entry.endpoint != record.endpoint ||
                       entry.service != record.service;
   if (is_new) {
+    EndColdPhase(pool, entry, ColdCause::kRemoved, now);
     ColdWindow cold_window = TakeColdWindow(pool, entry, record);
     RemoveFromService(pool, entry);
     ResetEntry(entry);
@@ -98,21 +99,10 @@
     SetColdByRecord(entry.cold_window, record.cold_remaining, now);
   entry.record_revision = record.revision;
   UpdateDataCentreState(pool, entry);
+  UpdateColdPhase(pool, entry, ColdCause::kRecord, now);
   AddToService(pool, entry);
 }
 
-/**
- * This instance's share of the requests that a cold server may get. Its data
- * centre's instances divide them; those of other data centres send nothing to
- * it, unless its data centre has no instance.
- */
-double ColdShare(const ServerPool& pool, const ServerEntry& server) {
-  const ColdShares& shares = pool.shares.cold;
-  if (server.own_data_centre)
-    return shares.own_data_centre;
-  return shares.unattended.count(server.data_centre) > 0 ? shares.elsewhere : 0;
-}
-
 ColdLimit ColdLimitOf(const ServerPool& pool,
                       const ServiceEntry& service,
                       const ServerEntry& server) {
@@ -142,6 +132,7 @@
     ServerEntry* entry = FindServer(pool, id);
     if (!entry || !entry->discovered)
       continue;
+    EndColdPhase(pool, *entry, ColdCause::kRemoved, now);
     RemoveFromService(pool, *entry);
     entry->listed = false;
     if (entry->outstanding == 0)
@@ -239,6 +230,16 @@
                           ColdLimitOf(pool, service->second, server), now);
 }
 
+// The instances of its data centre divide the limit of a cold server. Those of
+// other data centres send nothing to it, unless its data centre has no
+// instance.
+double ColdShare(const ServerPool& pool, const ServerEntry& server) {
+  const ColdShares& shares = pool.shares.cold;
+  if (server.own_data_centre)
+    return shares.own_data_centre;
+  return shares.unattended.count(server.data_centre) > 0 ? shares.elsewhere : 0;
+}
+
 int DiscoveredAllowance(const ServerPool& pool,
                         const ServiceEntry& service,
                         const ServerEntry& server,
--- a/tests/members/capacity_grant_test.cc
+++ b/tests/members/capacity_grant_test.cc
@@ -4,6 +4,8 @@
 
 #include <string>
 
+#include "process/fleet/capacity_shares.h"
+
 namespace mangodoor {
 namespace {
 
@@ -157,6 +159,31 @@
   EXPECT_EQ(CurrentGrant(table_, now_)->part, 1);
 }
 
+// Guards against cold servers that nobody uses because their data centre has no
+// instance, and against data centres that each use their whole limit.
+TEST_F(CapacityGrantTest, AllDataCentresShareServersOfOneWithoutInstances) {
+  CapacityGrant grant{1, 4, {}, 5, {DataCentreId("west")}};
+  const ColdShares shares =
+      ComputeInstanceShares(*ViewFleet(table_), grant, 0).cold;
+  EXPECT_EQ(shares.own_data_centre, 0.25);
+  EXPECT_EQ(shares.elsewhere, 0.05);
+  EXPECT_EQ(shares.unattended.count(DataCentreId("west")), 1U);
+  EXPECT_EQ(shares.granted, 1);
+}
+
+// Guards against a grant that leaves out a data centre without instances.
+TEST_F(CapacityGrantTest, GrantNamesDataCentresWithoutInstances) {
+  Learn(MakeMember(50, DataCentreId("north")));
+  RunFor(kGrantValid);
+  now_ += kFleetTick;
+  const DataCentreId west("west");
+  RenewGrant(table_, {0, {east, west, DataCentreId("north")}}, now_);
+  ASSERT_TRUE(CurrentGrant(table_, now_));
+  EXPECT_EQ(CurrentGrant(table_, now_)->unattended,
+            std::vector<DataCentreId>{west});
+  EXPECT_EQ(CurrentGrant(table_, now_)->data_centres, 2);
+}
+
 // Guards against shares that stay unused at instances without callers, so that
 // a cold server of a large fleet gets only one request every two seconds.
 TEST(CapacityGrantShareTest, AdvertisedInstancesHaveMostOfTheShare) {
--- a/tests/members/cold_fleet_sim.cc
+++ b/tests/members/cold_fleet_sim.cc
@@ -150,6 +150,8 @@
   inputs.requests_per_s = RequestRatePerDataCentre(
       view->live, FleetRequestsPerS(table, now_), all_slots);
   RenewGrant(table, inputs, now_);
+  RecordInstanceCount(pool.instance_count, static_cast<int>(view->live.size()),
+                      now_);
   pool.shares = ComputeInstanceShares(*view, CurrentGrant(table, now_),
                                       inputs.requests_per_s);
 }
