--- a/tests/connection/broken_server_test.cc
+++ b/tests/connection/broken_server_test.cc
@@ -202,8 +202,7 @@
     http_profile_.signature = "X-Signed";
     http_profile_.rejects_encoded_responses = true;
     http_profile_.buffers_responses = true;
-    retry_table_.policy = RetryPolicy{1, std::chrono::seconds(1), 1000};
-    retry_table_.division.from = TimePoint();
+    AllowFleetRetries();
   }
 
   static std::string Request(const std::string& id, const char* path) {
--- a/tests/connection/data_path_fixture.cc
+++ b/tests/connection/data_path_fixture.cc
@@ -129,6 +129,12 @@
   AdoptWithoutPlannedChanges(tables_.versions, version);
 }
 
+void DataPathTest::AllowFleetRetries() {
+  retry_table_.policy = RetryPolicy{1, std::chrono::seconds(1), 1000};
+  retry_table_.division.instances.count = 1;
+  retry_table_.division.from = TimePoint();
+}
+
 void DataPathTest::RecordFastResponses(int count) {
   for (int i = 0; i < count; ++i) {
     const TimePoint now = clock_.Now();
--- a/tests/connection/data_path_fixture.h
+++ b/tests/connection/data_path_fixture.h
@@ -50,6 +50,11 @@
   void Apply(const VersionPtr& version);
   void ApplyToAccounts(const Version& version);
   void EnterServiceAlone();
+  /**
+   * Allows many retries under a policy of the fleet, as for the only instance
+   * of a fleet some time after its start.
+   */
+  void AllowFleetRetries();
   /** Records `count` fast responses in the server table. */
   void RecordFastResponses(int count);
 
--- a/tests/connection/scenario_player.cc
+++ b/tests/connection/scenario_player.cc
@@ -146,8 +146,7 @@
       state_(std::make_shared<GeneratedServers>(scenario.turns)) {
   route_timeout_ = time_limit;
   limits_.body_progress = kProgressLimit;
-  retry_table_.policy = RetryPolicy{1, std::chrono::seconds(1), 1000};
-  retry_table_.division.from = TimePoint();
+  AllowFleetRetries();
   if (offered == Interface::kWithIdsAndSignatures) {
     http_profile_.request_id = "X-Id";
     http_profile_.signature = "X-Signed";
