--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -199,13 +199,27 @@
 
 void PlatformFleet::StartServer(int index) {
   servers_.at(Index(index)) = std::make_unique<ChildProcess>(
-      std::vector<std::string>{
-          ProgramPath("standin-platform-server"), "-l",
-          ToString(server_address(index)), "-a",
-          ToString(announced_address(index)), "-t",
-          ToString({Host(kStoreGroup, 0), kStorePort}), "-i", ServerId(index),
-          "-s", "work", "-z", "zone-" + std::to_string(zone_of_server(index)),
-          "-w", std::to_string(plan_.work_ms), "-r", RunLogPath(index)},
+      std::vector<std::string>{ProgramPath("standin-platform-server"),
+                               "-l",
+                               ToString(server_address(index)),
+                               "-a",
+                               ToString(announced_address(index)),
+                               "-t",
+                               ToString({Host(kStoreGroup, 0), kStorePort}),
+                               "-i",
+                               ServerId(index),
+                               "-s",
+                               "work",
+                               "-z",
+                               "zone-" + std::to_string(zone_of_server(index)),
+                               "-w",
+                               std::to_string(plan_.work_ms),
+                               "-b",
+                               std::to_string(plan_.server_heartbeat.count()),
+                               "-c",
+                               std::to_string(plan_.cold_time.count()),
+                               "-r",
+                               RunLogPath(index)},
       folder_ + "/server-" + std::to_string(index) + ".log");
 }
 
@@ -264,7 +278,11 @@
   resources.push_back(
       {{"ResourceKind", "Services"},
        {"Metadata", {{"Name", "work"}}},
-       {"Spec", {{"HealthPath", "/health"}, {"MaxConns", 200}}}});
+       {"Spec",
+        {{"HealthPath", "/health"},
+         {"MaxConns", 200},
+         {"ColdStartS", std::chrono::duration<double>(plan_.cold_time).count()},
+         {"ColdPerS", plan_.cold_rate_per_s}}}});
   resources.push_back(
       {{"ResourceKind", "Tenants"},
        {"Metadata", {{"Name", "tenant"}}},
@@ -367,6 +385,20 @@
              .status == 200;
 }
 
+bool PlatformFleet::SetServerCold(int server,
+                                  std::chrono::milliseconds duration) const {
+  return CallOnce(
+             server_address(server),
+             {"PUT", "/standin/cold", {}, std::to_string(duration.count())})
+             .status == 200;
+}
+
+std::vector<ColdArrival> PlatformFleet::ColdArrivals(int server) const {
+  return DecodeColdArrivals(CallOnce(server_address(server),
+                                     {"GET", "/standin/cold-arrivals", {}, ""})
+                                .body);
+}
+
 InstanceStatus PlatformFleet::StatusOf(int index) const {
   return DecodeStatus(
       CallOnce(InstanceAddress(index, kAdminPort), {"GET", "/status", {}, ""})
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -17,6 +17,7 @@
 #include "fleet/harness/loopback_network.h"
 #include "process/ordered_mutex.h"
 #include "process/status/instance_status.h"
+#include "standins/lib/cold_phase.h"
 
 namespace mangodoor {
 
@@ -37,6 +38,12 @@
    * out that the keys were withdrawn.
    */
   bool fail_closed = false;
+  /** Interval at which a server writes its record in the store. */
+  std::chrono::milliseconds server_heartbeat{300};
+  /** How long a server is cold after its start. */
+  std::chrono::milliseconds cold_time{0};
+  /** Requests a second that a cold server tolerates; 0 for no limit. */
+  double cold_rate_per_s = 0;
 };
 
 /**
@@ -147,6 +154,13 @@
   std::string RunLogPath(int server) const;
   /** Sends the body of /standin/faults to a server. False if it failed. */
   bool SetServerFaults(int server, const std::string& mode) const;
+  /** Makes a server cold from now on. False if it failed. */
+  bool SetServerCold(int server, std::chrono::milliseconds duration) const;
+  /**
+   * Requests that a server has got since it became cold, while it was cold.
+   * Probes and requests for another server are not among them.
+   */
+  std::vector<ColdArrival> ColdArrivals(int server) const;
   /** The status that an instance reports on its admin address. */
   InstanceStatus StatusOf(int index) const;
 
