Test a server record that comes before the first document

RecordMayComeBeforeTheFirstDocument fails: the data centre of the instance is known to its server table only with the first document, and a record applied before that counts as one of another data centre until it changes.

--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -29,7 +29,9 @@
 
 class DiscoveredServersTest : public testing::Test {
  protected:
-  DiscoveredServersTest() {
+  DiscoveredServersTest() { ApplyDocument(); }
+
+  void ApplyDocument() {
     Service service;
     service.id = work_service;
     service.discovered = true;
@@ -326,6 +328,19 @@
   EXPECT_EQ(Choose().value(), "i2");
 }
 
+// Guards against a server that counts as one of another data centre, and so
+// gets nothing while it is cold, because its record came before the first
+// document.
+TEST_F(DiscoveredServersTest, RecordMayComeBeforeTheFirstDocument) {
+  pool_ = ServerPool();
+  ServerRecord cold = Record(1, here);
+  cold.cold_remaining = seconds(3);
+  Apply({cold});
+  ApplyDocument();
+  EXPECT_TRUE(FindServer(pool_, cold.id)->own_data_centre);
+  EXPECT_EQ(Choose().value(), "i1");
+}
+
 // Guards against a cold server to which each of many instances sends one
 // request a second.
 TEST_F(DiscoveredServersTest, ColdRateBelowOnePerSecondIsSpread) {
