Test a cold server that only probes report, or an older record denies

IsNotFloodedByAnInstanceWithManyCallers fails: with all slots of the server taken by its own requests, an instance never probes, and does not learn that the server is cold while the store is down.

--- a/tests/platform_fleet/cold_server_test.cc
+++ b/tests/platform_fleet/cold_server_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <numeric>
 
 #include "fleet/harness/test_fleet.h"
 #include "platform_fleet/direct_callers.h"
@@ -23,14 +24,15 @@
 constexpr double kColdOverage = 1.5;
 constexpr double kColdSlack = 8;
 
-// Within this time, the users require a change in the store to be in force at
-// all instances. What arrives before can come from an instance that has not
-// been told that the server is cold.
+// The users' time limit for a new configuration, which also comes from the
+// store. What arrives before can come from an instance that has not been told
+// that the server is cold.
 constexpr milliseconds kTellLimit(2000);
 
-constexpr seconds kWarmTime(1);
+constexpr seconds kSettleTime(1);
 constexpr seconds kColdTime(10);
 constexpr int kCallersPerInstance = 2;
+constexpr int kManyCallers = 8;
 constexpr int kServer = 0;
 
 PlatformPlan LargeDataCentre() {
@@ -81,22 +83,34 @@
   EXPECT_FALSE(arrivals.empty());
 }
 
-/** A large data centre whose instances all get requests all the time. */
 class ColdServerTest : public ::testing::Test {
  protected:
-  void Start(const PlatformPlan& plan) {
+  void StartFleet(const PlatformPlan& plan) {
     fleet_ = std::make_unique<PlatformFleet>(plan);
     ASSERT_TRUE(fleet_->WaitUntilReady(kStartLimit));
-    callers_ = std::make_unique<DirectCallers>(*fleet_, kCallersPerInstance);
-    std::this_thread::sleep_for(kWarmTime);
+  }
+
+  void StartCallers(const std::vector<int>& instances,
+                    int callers_per_instance) {
+    callers_ = std::make_unique<DirectCallers>(*fleet_, instances,
+                                               callers_per_instance);
+    std::this_thread::sleep_for(kSettleTime);
     ASSERT_GT(callers_->answered(), 0);
   }
 
+  /** Starts a fleet whose instances all get requests all the time. */
+  void StartBusyFleet(const PlatformPlan& plan) {
+    ASSERT_NO_FATAL_FAILURE(StartFleet(plan));
+    StartCallers(AllInstances(), kCallersPerInstance);
+  }
+
   void TurnCold() {
     ASSERT_TRUE(fleet_->SetServerCold(kServer, kColdTime));
     std::this_thread::sleep_for(kTellLimit);
   }
 
+  void WaitUntilWarm() { std::this_thread::sleep_for(kColdTime - kTellLimit); }
+
   void RestartInstances(int count) {
     for (int i = 0; i < count; ++i)
       fleet_->KillInstance(i);
@@ -104,7 +118,11 @@
       fleet_->StartInstance(i);
   }
 
-  void WaitUntilWarm() { std::this_thread::sleep_for(kColdTime - kTellLimit); }
+  std::vector<int> AllInstances() const {
+    std::vector<int> instances(static_cast<size_t>(fleet_->instances()));
+    std::iota(instances.begin(), instances.end(), 0);
+    return instances;
+  }
 
   std::unique_ptr<PlatformFleet> fleet_;
   std::unique_ptr<DirectCallers> callers_;
@@ -113,7 +131,7 @@
 // Guards against a fleet that floods a cold server because each instance, just
 // started, does not know the others yet and takes the whole rate.
 TEST_F(ColdServerTest, IsNotFloodedByARestartOfAllInstances) {
-  ASSERT_NO_FATAL_FAILURE(Start(LargeDataCentre()));
+  ASSERT_NO_FATAL_FAILURE(StartBusyFleet(LargeDataCentre()));
   ASSERT_NO_FATAL_FAILURE(TurnCold());
   RestartInstances(fleet_->instances());
   WaitUntilWarm();
@@ -122,7 +140,7 @@
 
 // Guards against the same where the other half of the instances runs on.
 TEST_F(ColdServerTest, IsNotFloodedByARestartOfHalfTheInstances) {
-  ASSERT_NO_FATAL_FAILURE(Start(LargeDataCentre()));
+  ASSERT_NO_FATAL_FAILURE(StartBusyFleet(LargeDataCentre()));
   ASSERT_NO_FATAL_FAILURE(TurnCold());
   RestartInstances(fleet_->instances() / 2);
   WaitUntilWarm();
@@ -132,7 +150,7 @@
 // Guards against a steady fleet that floods, or no longer uses, a server that
 // becomes cold again.
 TEST_F(ColdServerTest, IsNotFloodedByASteadyFleet) {
-  ASSERT_NO_FATAL_FAILURE(Start(LargeDataCentre()));
+  ASSERT_NO_FATAL_FAILURE(StartBusyFleet(LargeDataCentre()));
   ASSERT_NO_FATAL_FAILURE(TurnCold());
   WaitUntilWarm();
   CheckColdServer(*fleet_);
@@ -143,7 +161,7 @@
 TEST_F(ColdServerTest, IsNotFloodedAfterItsOwnRestart) {
   PlatformPlan plan = LargeDataCentre();
   plan.cold_time = kColdTime;
-  ASSERT_NO_FATAL_FAILURE(Start(plan));
+  ASSERT_NO_FATAL_FAILURE(StartBusyFleet(plan));
   std::this_thread::sleep_for(kColdTime);
   fleet_->KillServer(kServer);
   fleet_->StartServer(kServer);
@@ -151,15 +169,44 @@
   CheckColdServer(*fleet_);
 }
 
-// Guards against instances that take a server for warm that a probe has found
-// cold, because they read its record of the time before again.
+// Guards against a steady fleet that floods, or no longer uses, a server that
+// only probes report as cold, because the store is down.
 TEST_F(ColdServerTest, IsNotFloodedWhenOnlyProbesReportIt) {
+  ASSERT_NO_FATAL_FAILURE(StartBusyFleet(LargeDataCentre()));
+  fleet_->SetStoreMode("busy");
+  ASSERT_NO_FATAL_FAILURE(TurnCold());
+  WaitUntilWarm();
+  CheckColdServer(*fleet_);
+}
+
+// Guards against an instance that does not probe a server, and so floods it,
+// because all of its slots have this instance's requests, whose responses
+// report its load, but not that it is cold. The store, which would tell it, is
+// down.
+TEST_F(ColdServerTest, IsNotFloodedByAnInstanceWithManyCallers) {
+  PlatformPlan plan = LargeDataCentre();
+  plan.instances = 1;
+  plan.server_slots = 1;
+  plan.work_ms = 50;
+  ASSERT_NO_FATAL_FAILURE(StartFleet(plan));
+  ASSERT_NO_FATAL_FAILURE(StartCallers(AllInstances(), kManyCallers));
+  fleet_->SetStoreMode("busy");
+  ASSERT_NO_FATAL_FAILURE(TurnCold());
+  WaitUntilWarm();
+  CheckColdServer(*fleet_);
+}
+
+// Guards against instances that take a server for warm that probes have found
+// cold, because a record of the time before reaches them later.
+TEST_F(ColdServerTest, IsNotFloodedWhenAnOlderRecordComesLate) {
   PlatformPlan plan = LargeDataCentre();
   plan.server_heartbeat = 2 * kColdTime;
-  ASSERT_NO_FATAL_FAILURE(Start(plan));
+  ASSERT_NO_FATAL_FAILURE(StartBusyFleet(plan));
+  const std::string key = "servers/" + PlatformFleet::ServerId(kServer);
+  nlohmann::json record = nlohmann::json::parse(fleet_->ItemValue(key));
+  record["Details"]["Version"] = "v2";
   ASSERT_NO_FATAL_FAILURE(TurnCold());
-  // The reader of the data centre reads the whole store again.
-  fleet_->CompactStore();
+  fleet_->PutItem(key, record.dump());
   WaitUntilWarm();
   CheckColdServer(*fleet_);
 }
--- a/tests/platform_fleet/direct_callers.cc
+++ b/tests/platform_fleet/direct_callers.cc
@@ -17,9 +17,10 @@
 }  // namespace
 
 DirectCallers::DirectCallers(const PlatformFleet& fleet,
+                             const std::vector<int>& instances,
                              int callers_per_instance)
     : fleet_(fleet) {
-  for (int instance = 0; instance < fleet.instances(); ++instance) {
+  for (const int instance : instances) {
     for (int caller = 0; caller < callers_per_instance; ++caller)
       threads_.emplace_back(
           [this, instance, caller] { Run(instance, caller); });
--- a/tests/platform_fleet/direct_callers.h
+++ b/tests/platform_fleet/direct_callers.h
@@ -11,14 +11,16 @@
 namespace mangodoor {
 
 /**
- * Callers that send requests to every instance until Stop, whether or not the
- * directory names it: each has one instance, and sends its next request soon
- * after the response to the last one. A caller whose instance does not answer
- * tries to connect until it does.
+ * Callers that send requests to the given instances until Stop, whether or not
+ * the directory names them: each has one instance, and sends its next request
+ * soon after the response to the last one. A caller whose instance does not
+ * answer tries to connect until it does.
  */
 class DirectCallers {
  public:
-  DirectCallers(const PlatformFleet& fleet, int callers_per_instance);
+  DirectCallers(const PlatformFleet& fleet,
+                const std::vector<int>& instances,
+                int callers_per_instance);
   ~DirectCallers();
 
   void Stop();
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -11,6 +11,7 @@
 #include "operators/repository.h"
 #include "platform_fleet/template.h"
 #include "process/status/io/status_codec.h"
+#include "store_answer.h"
 
 namespace mangodoor {
 namespace {
@@ -214,6 +215,8 @@
                                "zone-" + std::to_string(zone_of_server(index)),
                                "-w",
                                std::to_string(plan_.work_ms),
+                               "-n",
+                               std::to_string(plan_.server_slots),
                                "-b",
                                std::to_string(plan_.server_heartbeat.count()),
                                "-c",
@@ -248,6 +251,15 @@
            {method, "/standin/item?key=" + key, {}, value});
 }
 
+std::string PlatformFleet::ItemValue(const std::string& key) const {
+  const ClientResponse response =
+      CallOnce({Host(kStoreGroup, 0), kStorePort},
+               {"GET", "/kv-range?Prefix=" + key, {}, ""});
+  const StoreAnswer answer =
+      platform::DecodeStoreAnswer(response.status, response.body);
+  return answer.items.empty() ? "" : answer.items.front().value;
+}
+
 void PlatformFleet::PutItemText(const std::string& key,
                                 const std::string& text) const {
   CallOnce({Host(kStoreGroup, 0), kStorePort},
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -38,6 +38,8 @@
    * out that the keys were withdrawn.
    */
   bool fail_closed = false;
+  /** Requests that a server runs at a time. */
+  int server_slots = 3;
   /** Interval at which a server writes its record in the store. */
   std::chrono::milliseconds server_heartbeat{300};
   /** How long a server is cold after its start. */
@@ -112,6 +114,8 @@
   void PutItem(const std::string& key, const std::string& value) const {
     WriteStoreItem("PUT", key, value);
   }
+  /** The value of an item of the store; empty if there is none. */
+  std::string ItemValue(const std::string& key) const;
   /** Makes the store send `text` in place of the item with this key. */
   void PutItemText(const std::string& key, const std::string& text) const;
   void SetStoreMode(const std::string& mode);
