--- a/tests/platform/cold_phase_test.cc
+++ b/tests/platform/cold_phase_test.cc
@@ -15,6 +15,7 @@
 
 std::vector<ColdArrival> ArrivalsAt(const std::vector<int>& times_ms) {
   std::vector<ColdArrival> arrivals;
+  arrivals.reserve(times_ms.size());
   for (const int time_ms : times_ms)
     arrivals.push_back({std::to_string(time_ms), milliseconds(time_ms)});
   return arrivals;
