Recognise the servers of the own data centre that are read before a version

Cause: the server table knows its data centre only from the first version. A record that came before was taken for one of another data centre until it changed, so that the instance sent nothing to it while it was cold.

Evidence: DiscoveredServersTest.RecordMayComeBeforeTheFirstDocument failed before: own_data_centre false, no server chosen.

Now each version states it for the servers that were read before.

--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -209,8 +209,12 @@
   service.health_path = document.health_path;
   service.servers.clear();
   for (auto& [id, entry] : pool.servers) {
-    if (entry.discovered && entry.listed && entry.service == service.id)
-      service.servers.push_back(&entry);
+    if (!entry.discovered || !entry.listed || entry.service != service.id)
+      continue;
+    // Its record can have been read before the first version, which has the own
+    // data centre.
+    UpdateDataCentreState(pool, entry);
+    service.servers.push_back(&entry);
   }
   std::sort(
       service.servers.begin(), service.servers.end(),
