Probe a busy server whose probes have said nothing of a cold state

Servers saw: a cold server with one slot got 20 requests in a second from one instance, whose part of the limit is 3.2, while the store was down.

Cause: a busy server is probed every half second for its cold state only once a probe had reported one. A server reports it only while it is cold, so that the first cold phase of a busy server was missed.

Now every answered probe counts as a look at the cold state.

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -53,7 +53,6 @@
 void SetColdByProbe(ColdWindow& window, Duration remaining, TimePoint now) {
   BeginUnlessCold(window, now);
   window.until_by_probe = now + remaining;
-  window.probed_at = now;
   window.until_by_record = TimePoint();
 }
 
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -14,7 +14,8 @@
   TimePoint began{};
   /** End of the cold phase according to the latest probe. */
   TimePoint until_by_probe{};
-  /** Time of that probe; unset if no probe has reported the cold state. */
+  /** When a probe was last answered, whether it reported a cold phase or not.
+   */
   std::optional<TimePoint> probed_at;
   /** End according to the latest record that came after that probe. */
   TimePoint until_by_record{};
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -410,6 +410,7 @@
     return;
   }
   server.unanswered_probes = 0;
+  server.cold_window.probed_at = now;
   if (result.cold_remaining) {
     SetColdByProbe(server.cold_window, *result.cold_remaining, now);
     UpdateColdPhase(pool, server, ColdCause::kProbe, now);
