Let servers turn cold in the soak

A series of its own, so that the other faults of a seed stay the same. A cold server that nothing else disturbs may get 12.8 requests in one second from all instances, from two seconds after it turned cold. The stand-in's ColdPhase had the name of a struct of the product; both can be linked into one program.

--- a/tests/platform/cold_phase_test.cc
+++ b/tests/platform/cold_phase_test.cc
@@ -24,7 +24,7 @@
 // Guards against a stand-in that reports or counts a cold time other than the
 // one it was told.
 TEST(ColdPhaseTest, EndsAfterItsDuration) {
-  ColdPhase phase;
+  StandinColdPhase phase;
   RecordColdArrival(phase, "warm", kStart);
   EXPECT_EQ(ColdRemaining(phase, kStart), Duration::zero());
   StartColdPhase(phase, seconds(3), kStart);
--- a/tests/soak_fleet/soak_plan.cc
+++ b/tests/soak_fleet/soak_plan.cc
@@ -67,6 +67,7 @@
 constexpr uint64_t kResponseSeriesSeed = 0x5e51e5;
 constexpr uint64_t kOperatorSeriesSeed = 0x09e7a7;
 constexpr uint64_t kStoreSeriesSeed = 0x57a1e;
+constexpr uint64_t kColdSeriesSeed = 0xc01d;
 constexpr int kMaxSeriesIntervalMs = 3000;
 constexpr int kMaxOperatorIntervalMs = 9000;
 
@@ -143,6 +144,26 @@
   return faults;
 }
 
+std::vector<SoakFault> PlanColdSeries(uint64_t seed, const SoakSize& size) {
+  constexpr int kMinColdMs = 3000;
+  constexpr int kColdRangeMs = 3000;
+  constexpr int kMaxIntervalMs = 3000;
+  Random random(seed ^ kColdSeriesSeed);
+  std::vector<SoakFault> faults;
+  milliseconds at = kStartDelay;
+  while (at < size.length - kEndMargin - milliseconds(kMinColdMs)) {
+    SoakFault fault;
+    fault.kind = SoakFaultKind::kServerCold;
+    fault.target = RandomBelow(random, size.zones * size.servers_per_zone);
+    fault.at = at;
+    fault.duration =
+        milliseconds(kMinColdMs + RandomBelow(random, kColdRangeMs));
+    faults.push_back(fault);
+    at += milliseconds(500 + RandomBelow(random, kMaxIntervalMs));
+  }
+  return faults;
+}
+
 std::vector<SoakFault> PlanSingleFaults(uint64_t seed, const SoakSize& size) {
   Random random(seed);
   std::vector<SoakFault> faults;
@@ -201,6 +222,8 @@
       return "store has stale pages";
     case SoakFaultKind::kLargeVersions:
       return "large versions";
+    case SoakFaultKind::kServerCold:
+      return "cold server";
   }
   return "";
 }
@@ -213,6 +236,8 @@
     faults.push_back(fault);
   for (const SoakFault& fault : PlanStoreSeries(seed, size))
     faults.push_back(fault);
+  for (const SoakFault& fault : PlanColdSeries(seed, size))
+    faults.push_back(fault);
   for (SoakFault& fault : faults) {
     fault.duration =
         std::min(fault.duration, size.length - kEndMargin / 2 - fault.at);
--- a/tests/soak_fleet/soak_plan.h
+++ b/tests/soak_fleet/soak_plan.h
@@ -51,6 +51,7 @@
   kStoreStale,
   /** Large versions in quick succession. */
   kLargeVersions,
+  kServerCold,
 };
 
 const char* FaultName(SoakFaultKind kind);
@@ -74,8 +75,9 @@
 
 /**
  * Returns the faults of a run, ordered by start time: single faults, series of
- * faulty responses of several servers, series of signals and new versions, and
- * trouble with what the store holds. The seed determines all of them.
+ * faulty responses of several servers, series of signals and new versions,
+ * trouble with what the store holds, and servers that turn cold. The seed
+ * determines all of them.
  */
 std::vector<SoakFault> PlanSoak(uint64_t seed, const SoakSize& size);
 
--- a/tests/soak_fleet/soak_run.cc
+++ b/tests/soak_fleet/soak_run.cc
@@ -18,6 +18,11 @@
 // Bounds that the users require.
 constexpr seconds kRecoveryBound(15);
 constexpr seconds kStopBound(6);
+// What a cold server may get in one second from all instances together, once
+// they must know that it is cold.
+constexpr double kColdRatePerS = 3.2;
+constexpr double kMaxColdRequestsPerSecond = kColdRatePerS * 1.5 + 8;
+constexpr seconds kColdNewsBound(2);
 
 constexpr milliseconds kThinkTime(20);
 constexpr milliseconds kVersionCheckInterval(200);
@@ -38,6 +43,7 @@
   plan.zones = size.zones;
   plan.servers_per_zone = size.servers_per_zone;
   plan.relays = true;
+  plan.cold_rate_per_s = kColdRatePerS;
   return plan;
 }
 
@@ -314,6 +320,10 @@
       return fleet_.server_relay(target).SetFault(fault.link);
     case SoakFaultKind::kServerReset:
       return fleet_.server_relay(target).Reset();
+    case SoakFaultKind::kServerCold:
+      if (!IsDisturbed(fault))
+        fleet_.SetServerCold(target, fault.duration);
+      return;
     default:
       return;
   }
@@ -373,11 +383,44 @@
       return fleet_.StartServer(fault.target);
     case SoakFaultKind::kServerLink:
       return fleet_.server_relay(fault.target).Heal();
+    case SoakFaultKind::kServerCold:
+      return CheckColdServer(fault);
     default:
       return;
   }
 }
 
+bool SoakRun::IsDisturbed(const SoakFault& cold) const {
+  return std::any_of(
+      plan_.begin(), plan_.end(), [&cold](const SoakFault& fault) {
+        return fault.target == cold.target && fault.at != cold.at &&
+               (fault.kind == SoakFaultKind::kKillServer ||
+                fault.kind == SoakFaultKind::kPauseServer ||
+                fault.kind == SoakFaultKind::kDrainServer ||
+                fault.kind == SoakFaultKind::kServerLink ||
+                fault.kind == SoakFaultKind::kServerCold) &&
+               fault.at <= cold.at + cold.duration &&
+               fault.at + fault.duration >= cold.at;
+      });
+}
+
+void SoakRun::CheckColdServer(const SoakFault& fault) {
+  if (IsDisturbed(fault))
+    return;
+  std::vector<ColdArrival> arrivals = fleet_.ColdArrivals(fault.target);
+  arrivals.erase(std::remove_if(arrivals.begin(), arrivals.end(),
+                                [](const ColdArrival& arrival) {
+                                  return arrival.cold_for < kColdNewsBound;
+                                }),
+                 arrivals.end());
+  const size_t busiest = BusiestSecond(arrivals).size();
+  if (static_cast<double>(busiest) > kMaxColdRequestsPerSecond) {
+    violations_.push_back("cold server " + std::to_string(fault.target) +
+                          " got " + std::to_string(busiest) +
+                          " requests in one second");
+  }
+}
+
 void SoakRun::Restart(int instance) {
   if (fleet_.HasInstance(instance))
     return;
--- a/tests/soak_fleet/soak_run.h
+++ b/tests/soak_fleet/soak_run.h
@@ -52,6 +52,10 @@
   void BeginOnStore(const SoakFault& fault);
   void FinishFault(const SoakFault& fault);
   void FinishOnServer(const SoakFault& fault);
+  /** Checks how many requests a cold server got. */
+  void CheckColdServer(const SoakFault& fault);
+  /** True if the plan disturbs the server in another way meanwhile. */
+  bool IsDisturbed(const SoakFault& cold) const;
   void FinishAllFaults();
   void CheckProcesses();
   void CheckStop(int instance);
