Keep asking servers for their load after one of them refused a probe

Callers saw the server crash, and, with or without cold servers, requests placed without a current load for as long as the process ran.

Cause: an answered probe without a load, such as a refusal, made the instance take the whole service for one whose servers report none. From then on it asked none of them, so that it was not told that one had turned cold either.

DiscoveredServersTest.RefusedProbeDoesNotEndPlacementByLoad and ResponseWithALoadBeginsPlacementByLoad failed before.

Now only a healthy answer without a load shows that a service reports none, and a response with a load shows that it does.

--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -418,7 +418,9 @@
   ServiceEntry* service = FindService(pool, server.service);
   if (!service)
     return;
-  service->reports_load = result.server_load.has_value();
+  // A refusal without a load says nothing about the service's servers.
+  if (result.healthy || result.server_load)
+    service->reports_load = result.server_load.has_value();
   if (result.server_load)
     RecordServerLoad(server.load_estimate, *result.server_load,
                      server.outstanding, now);
--- a/src/process/servers/server_feedback.cc
+++ b/src/process/servers/server_feedback.cc
@@ -168,9 +168,11 @@
 }
 
 void HandleMetrics(Feedback& feedback, const AttemptResult& result) {
-  if (result.server_load)
+  if (result.server_load) {
+    feedback.service.reports_load = true;
     RecordServerLoad(feedback.server.load_estimate, *result.server_load,
                      feedback.server.outstanding, feedback.now);
+  }
   if (result.reported_in_flight)
     RecordLoadReport(feedback.service, feedback.server,
                      *result.reported_in_flight, feedback.now);
--- a/tests/connection/cold_server_test.cc
+++ b/tests/connection/cold_server_test.cc
@@ -31,6 +31,7 @@
     ApplyRecord(Duration::zero());
     ProbeResult without_load;
     without_load.answered = true;
+    without_load.healthy = true;
     actions_.Run(HandleProbeResult(tables_.servers, server_id, without_load,
                                    clock_.Now()));
   }
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -87,6 +87,7 @@
       ProbeResult result;
       const auto server_load = reported_loads_.find(probed.server);
       result.answered = unresponsive_.count(probed.server) == 0;
+      result.healthy = result.answered;
       if (reports_load_) {
         result.server_load =
             server_load == reported_loads_.end()
@@ -378,6 +379,30 @@
   EXPECT_EQ(Choose().value(), "i1");
 }
 
+// Guards against a service whose servers are no longer asked for their load, nor
+// whether they are cold, because one of them refused a probe.
+TEST_F(DiscoveredServersTest, RefusedProbeDoesNotEndPlacementByLoad) {
+  Apply({Record(1, here)});
+  ProbeResult refused;
+  refused.answered = true;
+  HandleProbeResult(pool_, BackendServerId("i1"), refused, now_);
+  EXPECT_TRUE(UsesPlacement(*FindService(pool_, work_service)));
+}
+
+// Guards against a service that is taken for one without load reports for good.
+TEST_F(DiscoveredServersTest, ResponseWithALoadBeginsPlacementByLoad) {
+  Apply({Record(1, here)});
+  ProbeResult without_load;
+  without_load.answered = true;
+  without_load.healthy = true;
+  HandleProbeResult(pool_, BackendServerId("i1"), without_load, now_);
+  ASSERT_FALSE(UsesPlacement(*FindService(pool_, work_service)));
+  const BackendServerId chosen = Choose();
+  ASSERT_FALSE(chosen.empty());
+  Answer(chosen, ServerLoad{1, 0, 3, 1});
+  EXPECT_TRUE(UsesPlacement(*FindService(pool_, work_service)));
+}
+
 // Guards against more connections than a server accepts from the fleet.
 TEST_F(DiscoveredServersTest, ConnectionsAreShared) {
   FindService(pool_, work_service)->connection_limit = 60;
