--- a/src/process/fleet/capacity_grant.cc
+++ b/src/process/fleet/capacity_grant.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "process/fleet/advertised_instances.h"
+#include "process/fleet/instance_count.h"
+#include "process/fleet/link_plan.h"
 
 namespace mangodoor {
 namespace {
@@ -11,29 +13,45 @@
 // longer advertised, though only to a few of them.
 constexpr double kUnadvertisedShare = 0.5;
 
-// An instance may take this long after its start to find the others. Until then
-// it assumes that its data centre has at least kAssumedInstances, so that
-// groups which have not found each other use only a part of the limits.
+// An instance may take this long after its start to find the others. Until
+// then, or until it is linked with one that runs for longer, it assumes that
+// its data centre has at least kAssumedInstances, so that groups which have not
+// found each other use only a part of the limits.
 constexpr Duration kJoinTime = std::chrono::seconds(10);
-constexpr int kAssumedInstances = 16;
 
 // The functions in this namespace are called with the table locked.
 
-/** True if this instance has learned of others, or there are none to find. */
+/** True if this instance has ever known others, or there are none to find. */
 bool HasJoined(const FleetTable& table) {
   const MemberList& member_list = table.member_list;
-  return !member_list.members.empty() ||
+  return table.has_joined || !member_list.members.empty() ||
          std::all_of(table.seeds.begin(), table.seeds.end(),
                      [&member_list](const Endpoint& seed) {
                        return seed == member_list.self.peer_endpoint;
                      });
 }
 
+/** True if this instance runs for long enough to have found the others. */
+bool IsSettled(const FleetTable& table, TimePoint now) {
+  return table.first_tick && now - *table.first_tick >= kJoinTime;
+}
+
+/** True if this instance's own grant has not expired. */
+bool HoldsOwnGrant(const FleetTable& table, TimePoint now) {
+  return table.held_grant &&
+         table.held_grant->leader == table.member_list.self.id &&
+         now < table.held_grant->until;
+}
+
 /** True if another leader's grant may still be in use at some instance. */
 bool MayOverlap(const FleetTable& table, TimePoint now) {
   const MemberList& member_list = table.member_list;
   if (!member_list.leader_since)
     return true;
+  // After a short stall, this instance's grant is still valid. Another one
+  // leads only after SilenceLimits::instance, and then waits for kGrantValid.
+  if (HoldsOwnGrant(table, now))
+    return false;
   const TimePoint leading_since =
       std::max(*member_list.leader_since, member_list.watching_since);
   if (now - leading_since < kGrantValid)
@@ -71,7 +89,7 @@
     const bool gone = entry.member.state == MemberState::kGone;
     known_here += gone && entry.member.data_centre == own_data_centre ? 1 : 0;
   }
-  if (now - table.first_tick.value_or(now) < kJoinTime)
+  if (!IsSettled(table, now) && !table.knows_settled_peer)
     known_here = std::max(known_here, kAssumedInstances);
   CapacityGrant grant;
   grant.part = PartOfGroup(live_here, known_here);
@@ -79,10 +97,18 @@
   for (const Member* member :
        SelectAdvertisedInstances(live, own_data_centre, inputs.requests_per_s))
     grant.advertised.push_back(member->id);
-  grant.data_centres = static_cast<int>(KnownDataCentres(member_list).size());
-  std::set_difference(inputs.server_data_centres.begin(),
-                      inputs.server_data_centres.end(), attended.begin(),
-                      attended.end(), std::back_inserter(grant.unattended));
+  std::set<DataCentreId> all = inputs.server_data_centres;
+  for (const DataCentreId& data_centre : KnownDataCentres(member_list))
+    all.insert(data_centre);
+  grant.data_centres = static_cast<int>(all.size());
+  // The data centres out of reach can have instances and divide the servers
+  // here, or those of others, as well.
+  if (2 * attended.size() <= all.size()) {
+    grant.part /= 2;
+    return grant;
+  }
+  std::set_difference(all.begin(), all.end(), attended.begin(), attended.end(),
+                      std::back_inserter(grant.unattended));
   return grant;
 }
 
@@ -90,7 +116,8 @@
 
 void RenewGrant(FleetTable& table, const GrantInputs& inputs, TimePoint now) {
   OrderedLock lock(table.mutex);
-  if (MayOverlap(table, now) || !HasJoined(table))
+  table.has_joined = HasJoined(table);
+  if (MayOverlap(table, now) || !table.has_joined)
     return;
   table.held_grant = HeldGrant{MakeGrant(table, inputs, now),
                                table.member_list.self.id, now + kGrantValid};
@@ -100,9 +127,11 @@
                  const InstanceId& from,
                  const FleetHeartbeat& heartbeat,
                  TimePoint now) {
+  OrderedLock lock(table.mutex);
+  if (heartbeat.settled && IsInOwnDataCentre(table.member_list, from))
+    table.knows_settled_peer = true;
   if (!heartbeat.capacity_grant)
     return;
-  OrderedLock lock(table.mutex);
   const auto ranked =
       RankedMembers(table.member_list, table.member_list.self.data_centre);
   if (ranked.front()->id != from)
@@ -115,13 +144,12 @@
                FleetHeartbeat& heartbeat,
                TimePoint now) {
   OrderedLock lock(table.mutex);
-  const auto& held = table.held_grant;
-  if (held && held->leader == table.member_list.self.id && now < held->until)
-    heartbeat.capacity_grant = held->grant;
+  heartbeat.settled = IsSettled(table, now);
+  if (HoldsOwnGrant(table, now))
+    heartbeat.capacity_grant = table.held_grant->grant;
 }
 
-std::optional<CapacityGrant> CurrentGrant(const FleetTable& table,
-                                          TimePoint now) {
+std::optional<HeldGrant> CurrentGrant(const FleetTable& table, TimePoint now) {
   OrderedLock lock(table.mutex);
   const auto& held = table.held_grant;
   if (!held || now >= held->until)
@@ -130,7 +158,7 @@
   const bool own = held->leader == table.member_list.self.id;
   if (own && !table.member_list.leader_since)
     return std::nullopt;
-  return held->grant;
+  return held;
 }
 
 double ShareOf(const CapacityGrant& grant, const InstanceId& instance) {
--- a/src/process/fleet/capacity_grant.h
+++ b/src/process/fleet/capacity_grant.h
@@ -25,20 +25,21 @@
  */
 void RenewGrant(FleetTable& table, const GrantInputs& inputs, TimePoint now);
 
-/** Records the grant in a heartbeat of the leader; ignores those of others. */
+/**
+ * Records what a heartbeat says of grants. Only a grant of the leader counts.
+ */
 void RecordGrant(FleetTable& table,
                  const InstanceId& from,
                  const FleetHeartbeat& heartbeat,
                  TimePoint now);
 
-/** Adds this instance's grant to a heartbeat to its data centre. */
+/** Fills in a heartbeat to this instance's data centre. */
 void FillGrant(const FleetTable& table,
                FleetHeartbeat& heartbeat,
                TimePoint now);
 
 /** The grant that may be used now, if there is one. */
-std::optional<CapacityGrant> CurrentGrant(const FleetTable& table,
-                                          TimePoint now);
+std::optional<HeldGrant> CurrentGrant(const FleetTable& table, TimePoint now);
 
 /**
  * The instance's share, from 0 to 1, of what a grant allows. The shares of all
--- a/src/process/fleet/capacity_shares.h
+++ b/src/process/fleet/capacity_shares.h
@@ -14,7 +14,7 @@
  * `requests_per_s` is the rate that each data centre should be able to handle.
  */
 InstanceShares ComputeInstanceShares(const FleetView& view,
-                                     const std::optional<CapacityGrant>& grant,
+                                     const std::optional<HeldGrant>& grant,
                                      double requests_per_s);
 
 }  // namespace mangodoor
--- a/src/process/fleet/fleet_table.h
+++ b/src/process/fleet/fleet_table.h
@@ -74,6 +74,10 @@
   /** The latest grant, made by this instance or received; see capacity_grant.h.
    */
   std::optional<HeldGrant> held_grant;
+  /** True once this instance has known another one. */
+  bool has_joined = false;
+  /** True once a peer of this data centre has said that it is settled. */
+  bool knows_settled_peer = false;
   std::optional<TimePoint> first_tick;
   std::optional<TimePoint> last_tick;
 };
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -456,7 +456,7 @@
   const TimePoint now = clock_.Now();
   FleetHeartbeat heartbeat;
   FillFeedState(feed_, now, heartbeat);
-  if (scope == UsageScope::kFleet)
+  if (scope != UsageScope::kDataCentre)
     FillGrant(fleet_, heartbeat, now);
   if (includes_usage) {
     heartbeat.scope = scope;
--- a/src/process/peers/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -387,6 +387,8 @@
             .count();
   if (heartbeat.store_age_hops > 0)
     json["h"] = heartbeat.store_age_hops;
+  if (heartbeat.settled)
+    json["e"] = true;
   if (heartbeat.capacity_grant)
     json["c"] = Encode(*heartbeat.capacity_grant);
   if (heartbeat.covered == 0)
@@ -416,6 +418,7 @@
   if (json.contains("h"))
     heartbeat.store_age_hops =
         static_cast<int>(IntegerAt(json, "h", 0, kMaxInstances));
+  heartbeat.settled = json.contains("e") && FlagAt(json, "e");
   if (json.contains("c"))
     heartbeat.capacity_grant = DecodeCapacityGrant(json["c"]);
   if (!json.contains("n"))
--- a/src/process/peers/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -157,7 +157,7 @@
   int instances = 1;
   /** Instances that callers are sent to. */
   std::vector<InstanceId> advertised;
-  /** Data centres of the fleet, at least 1. */
+  /** Data centres of the fleet and its servers, at least 1. */
   int data_centres = 1;
   /** Data centres that have servers and no running instance. */
   std::vector<DataCentreId> unattended;
@@ -190,6 +190,8 @@
   /** The part that the sender receives itself. */
   double own_requests_per_s = 0;
   std::vector<AccountUsage> usage;
+  /** True if the sender runs for long enough to have found the others. */
+  bool settled = false;
   /** Set by the leader of a data centre for the instances there. */
   std::optional<CapacityGrant> capacity_grant;
 };
--- a/src/process/servers/cold_phase.cc
+++ b/src/process/servers/cold_phase.cc
@@ -21,7 +21,7 @@
   began.cause = cause;
   began.remaining = ColdUntil(server.cold_window) - now;
   began.counts = CountsOf(pool.shares, server.data_centre);
-  began.share = ColdShare(pool, server);
+  began.share = ColdShare(pool, server, now);
   const auto service = pool.services.find(server.service);
   if (service != pool.services.end())
     began.rate_per_s = service->second.cold_rate_per_s * began.share;
--- a/src/process/servers/instance_shares.h
+++ b/src/process/servers/instance_shares.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 
+#include "process/clock.h"
 #include "version/ids.h"
 
 namespace mangodoor {
@@ -24,6 +25,13 @@
   double elsewhere = 0;
   /** Data centres that have servers and no running instance. */
   std::set<DataCentreId> unattended;
+  /**
+   * From 0 to 1, another one at each instance: spreads what all of them would
+   * send at the same time.
+   */
+  double phase = 0;
+  /** The shares may not be used from this time on. */
+  TimePoint until{};
 };
 
 /** Instances among which the capacity of the servers is divided. */
@@ -38,11 +46,6 @@
   /** True if this instance is one of the advertised instances. */
   bool is_advertised = false;
   ColdShares cold;
-  /**
-   * From 0 to 1, by the id of this instance alone: spreads what all instances
-   * would do at the same time, whatever each knows of the others.
-   */
-  double phase = 0;
 };
 
 /** What this instance knows of the sharers of the servers of a data centre. */
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -105,8 +105,10 @@
 
 ColdLimit ColdLimitOf(const ServerPool& pool,
                       const ServiceEntry& service,
-                      const ServerEntry& server) {
-  return {service.cold_rate_per_s * ColdShare(pool, server), pool.shares.phase};
+                      const ServerEntry& server,
+                      TimePoint now) {
+  return {service.cold_rate_per_s * ColdShare(pool, server, now),
+          pool.shares.cold.phase};
 }
 
 bool IsColdLimited(const ServiceEntry& service,
@@ -231,14 +233,18 @@
       !IsColdLimited(service->second, server, now))
     return true;
   return MayStillSendCold(server.cold_window,
-                          ColdLimitOf(pool, service->second, server), now);
+                          ColdLimitOf(pool, service->second, server, now), now);
 }
 
 // The instances of its data centre divide the limit of a cold server. Those of
 // other data centres send nothing to it, unless its data centre has no
 // instance.
-double ColdShare(const ServerPool& pool, const ServerEntry& server) {
+double ColdShare(const ServerPool& pool,
+                 const ServerEntry& server,
+                 TimePoint now) {
   const ColdShares& shares = pool.shares.cold;
+  if (now >= shares.until)
+    return 0;
   if (server.own_data_centre)
     return shares.own_data_centre;
   return shares.unattended.count(server.data_centre) > 0 ? shares.elsewhere : 0;
@@ -251,7 +257,8 @@
   if (!IsUsable(server, now))
     return 0;
   if (IsColdLimited(service, server, now) &&
-      !MaySendCold(server.cold_window, ColdLimitOf(pool, service, server), now))
+      !MaySendCold(server.cold_window, ColdLimitOf(pool, service, server, now),
+                   now))
     return 0;
   const int others = static_cast<int>(OthersNow(server.load_estimate, now));
   return std::max(1, server.slots - others);
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -196,7 +196,9 @@
  * itself. 0 without a grant, and for a server of another data centre that has
  * instances of its own.
  */
-double ColdShare(const ServerPool& pool, const ServerEntry& server);
+double ColdShare(const ServerPool& pool,
+                 const ServerEntry& server,
+                 TimePoint now);
 
 /** Applies the settings of a service whose servers register themselves. */
 void ApplyDiscoveredService(ServerPool& pool,
--- a/tests/connection/cold_server_test.cc
+++ b/tests/connection/cold_server_test.cc
@@ -27,6 +27,7 @@
     InstanceShares shares;
     shares.instances = {{DataCentreId("dc"), 1}};
     shares.cold.own_data_centre = 1;
+    shares.cold.until = TimePoint::max();
     SetInstanceShares(tables_.servers, shares);
     ApplyRecord(Duration::zero());
     ProbeResult without_load;
--- a/tests/members/cold_fleet_sim_test.cc
+++ b/tests/members/cold_fleet_sim_test.cc
@@ -270,6 +270,54 @@
   ExpectWithinBound();
 }
 
+/** Five data centres as large as that of the users' fleet. */
+ColdFleetSim MakeFiveDataCentres() {
+  constexpr int kSeeds = 3;
+  SimDataCentre data_centre;
+  data_centre.millicores.assign(kInstances, 100);
+  std::fill_n(data_centre.millicores.begin(), kLargeInstances, 500);
+  return ColdFleetSim(std::vector<SimDataCentre>(5, data_centre),
+                      std::vector<double>(5, 200), kSeeds, {}, 1);
+}
+
+// Guards against leaders of data centres that cannot reach each other, and that
+// each take the server for one of a data centre without instances.
+TEST(ColdDataCentresTest, AllDataCentresAreCutOffFromEachOther) {
+  ColdFleetSim sim = MakeFiveDataCentres();
+  const int server = sim.AddServer(first_data_centre);
+  const TimePoint start = sim.now();
+  for (int i = 0; i < sim.fleet().size(); ++i)
+    sim.Start(i);
+  sim.RunFor(kSettleTime);
+  for (int i = 0; i < sim.fleet().size(); ++i)
+    sim.fleet().SetGroup(i, i / kInstances);
+  sim.TurnCold(server, seconds(30));
+  sim.RunFor(seconds(30));
+  EXPECT_LE(static_cast<double>(sim.busiest_second().requests),
+            kMaxColdRequestsPerSecond)
+      << Describe(sim.busiest_second(), start);
+}
+
+// Guards against the same while a fleet starts and its data centres find each
+// other late.
+TEST(ColdDataCentresTest, DataCentresFindEachOtherLate) {
+  ColdFleetSim sim = MakeFiveDataCentres();
+  const int server = sim.AddServer(first_data_centre);
+  const TimePoint start = sim.now();
+  for (int i = 0; i < sim.fleet().size(); ++i) {
+    sim.fleet().SetGroup(i, i / kInstances);
+    sim.Start(i);
+  }
+  sim.TurnCold(server, seconds(30));
+  sim.RunFor(seconds(10));
+  for (int i = 0; i < sim.fleet().size(); ++i)
+    sim.fleet().SetGroup(i, 0);
+  sim.RunFor(seconds(20));
+  EXPECT_LE(static_cast<double>(sim.busiest_second().requests),
+            kMaxColdRequestsPerSecond)
+      << Describe(sim.busiest_second(), start);
+}
+
 /** The blocks of seeds, which can run beside each other. */
 class ColdSeriesTest : public testing::TestWithParam<uint64_t> {
  protected:
--- a/tests/operators/cold_server_log_test.cc
+++ b/tests/operators/cold_server_log_test.cc
@@ -167,6 +167,7 @@
   shares.advertised_instances = {{east, advertised_instances}};
   shares.is_advertised = true;
   shares.cold.own_data_centre = 1.0 / advertised_instances;
+  shares.cold.until = TimePoint::max();
   shares.cold.granted = 1;
   return shares;
 }
--- a/tests/routing/cold_phase_test.cc
+++ b/tests/routing/cold_phase_test.cc
@@ -48,6 +48,7 @@
     pool_.shares.advertised_instances = {{here, 6}, {there, 2}};
     pool_.shares.is_advertised = true;
     pool_.shares.cold.own_data_centre = 1.0 / 6;
+    pool_.shares.cold.until = TimePoint::max();
     pool_.shares.cold.granted = 0.5;
   }
 
@@ -232,6 +233,7 @@
   Apply(Record({}));
   pool_.shares = {};
   pool_.shares.cold.own_data_centre = 1;
+  pool_.shares.cold.until = TimePoint::max();
   Probe(seconds(3));
   ServerRequirements requirements;
   requirements.service = work_service;
