Keep a record that came after a probe was sent

Servers could see up to their slots of requests from an instance for half a second: a response to a probe that was sent while the server was warm arrived after the record that made it cold, and ended the phase. Found by the review, which showed it on ColdWindow (cold before the response, warm after it).

Now a response replaces only what was known when its probe was sent. ColdWindowTest.LateResponseDoesNotEndTheColdPhaseOfALaterRecord guards it.

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -50,10 +50,14 @@
 
 }  // namespace
 
-void SetColdByProbe(ColdWindow& window, Duration remaining, TimePoint now) {
+void SetColdByProbe(ColdWindow& window,
+                    Duration remaining,
+                    TimePoint sent_at,
+                    TimePoint now) {
   BeginUnlessCold(window, now);
   window.until_by_probe = now + remaining;
-  window.until_by_record = TimePoint();
+  if (window.record_at <= sent_at)
+    window.until_by_record = TimePoint();
 }
 
 // A record does not say when it was written, which can be seconds ago. If it
@@ -63,6 +67,7 @@
 void SetColdByRecord(ColdWindow& window, Duration remaining, TimePoint now) {
   BeginUnlessCold(window, now);
   window.until_by_record = now + remaining;
+  window.record_at = now;
 }
 
 TimePoint ColdUntil(const ColdWindow& window) {
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -19,6 +19,8 @@
   std::optional<TimePoint> probed_at;
   /** End according to the latest record that came after that probe. */
   TimePoint until_by_record{};
+  /** When that record was applied. */
+  TimePoint record_at{};
   /** Times of the requests sent in the last second; a part of them if warm. */
   std::deque<TimePoint> sent;
   /** Time of the latest request that was sent while it was cold. */
@@ -27,9 +29,13 @@
 
 /**
  * Records that the server answered a probe with this remaining time, which
- * replaces everything known before. Zero ends the phase.
+ * replaces what was known when the probe was sent. Zero ends the phase, unless
+ * a record has come since then.
  */
-void SetColdByProbe(ColdWindow& window, Duration remaining, TimePoint now);
+void SetColdByProbe(ColdWindow& window,
+                    Duration remaining,
+                    TimePoint sent_at,
+                    TimePoint now);
 
 /**
  * Records the remaining time in a newly written record. It replaces that of an
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -237,6 +237,7 @@
                   ServerEntry& server,
                   TimePoint now) {
   server.probe_in_flight = true;
+  server.probe_sent_at = now;
   server.probe_tokens -= 1;
   TakeProbe(service.probe_credit);
   ChosenServer probed = ToChosenServer(pool, server, now);
@@ -412,7 +413,8 @@
   server.unanswered_probes = 0;
   server.cold_window.probed_at = now;
   if (result.cold_remaining) {
-    SetColdByProbe(server.cold_window, *result.cold_remaining, now);
+    SetColdByProbe(server.cold_window, *result.cold_remaining,
+                   server.probe_sent_at, now);
     UpdateColdPhase(pool, server, ColdCause::kProbe, now);
   }
   ServiceEntry* service = FindService(pool, server.service);
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -83,6 +83,8 @@
   std::optional<ColdPhase> cold_phase;
   LoadEstimate load_estimate;
   bool probe_in_flight = false;
+  /** When the latest probe was requested. */
+  TimePoint probe_sent_at{};
   /** Token bucket of the probes that this instance may send. */
   double probe_tokens = 1;
   TimePoint probe_tokens_refilled_at{};
--- a/tests/members/capacity_grant_test.cc
+++ b/tests/members/capacity_grant_test.cc
@@ -283,7 +283,7 @@
   held.leader = views[0].self.id;
   std::vector<ColdWindow> windows(kInstances);
   for (ColdWindow& window : windows)
-    SetColdByProbe(window, std::chrono::seconds(20), start);
+    SetColdByProbe(window, std::chrono::seconds(20), start, start);
   std::deque<TimePoint> sent;
   int all = 0;
   for (milliseconds t{0}; t < std::chrono::seconds(20); t += milliseconds(10)) {
--- a/tests/routing/cold_phase_test.cc
+++ b/tests/routing/cold_phase_test.cc
@@ -61,6 +61,8 @@
   }
 
   std::vector<ColdPhaseEvent> Probe(Duration cold_remaining) {
+    if (ServerEntry* server = FindServer(pool_, server_id))
+      server->probe_sent_at = now_;
     ProbeResult result;
     result.answered = true;
     result.server_load = ServerLoad{0, 0, 3, 1};
--- a/tests/routing/cold_window_test.cc
+++ b/tests/routing/cold_window_test.cc
@@ -18,7 +18,8 @@
 TEST(ColdWindowTest, NoRequestFollowsThoseOfTheSameSecond) {
   ColdWindow window;
   RecordSent(window, kStart);
-  SetColdByProbe(window, seconds(3), kStart + milliseconds(100));
+  SetColdByProbe(window, seconds(3), kStart + milliseconds(100),
+                 kStart + milliseconds(100));
   // The turn of this instance is from 0.9 to 1.4 s and from -0.2 to 0.3 s.
   const ColdLimit limit{0.9, 0.8};
   EXPECT_FALSE(MaySendCold(window, limit, kStart + milliseconds(200)));
@@ -39,7 +40,7 @@
     const TimePoint now = kStart + t;
     if (t == milliseconds(0) || t == 2 * kPhase) {
       for (ColdWindow& window : windows)
-        SetColdByProbe(window, kPhase, now);
+        SetColdByProbe(window, kPhase, now, now);
     }
     for (int i = 0; i < kInstances; ++i) {
       ColdWindow& window = windows.at(static_cast<size_t>(i));
@@ -70,6 +71,18 @@
   EXPECT_EQ(window.sent.size(), 0U);
 }
 
+// Guards against a server that counts as warm because the response to a probe
+// arrives after a record that was written later.
+TEST(ColdWindowTest, LateResponseDoesNotEndTheColdPhaseOfALaterRecord) {
+  ColdWindow window;
+  SetColdByRecord(window, seconds(3), kStart + milliseconds(10));
+  SetColdByProbe(window, seconds(0), kStart, kStart + milliseconds(20));
+  EXPECT_TRUE(IsCold(window, kStart + milliseconds(30)));
+  SetColdByProbe(window, seconds(0), kStart + milliseconds(40),
+                 kStart + milliseconds(50));
+  EXPECT_FALSE(IsCold(window, kStart + milliseconds(60)));
+}
+
 // Guards against instances of a large fleet that all send at once because their
 // callers come late in a cold phase.
 TEST(ColdWindowTest, UnusedTurnsAreLost) {
@@ -79,7 +92,7 @@
     int sent = 0;
     for (int i = 0; i < kInstances; ++i) {
       ColdWindow window;
-      SetColdByProbe(window, seconds(200), kStart);
+      SetColdByProbe(window, seconds(200), kStart, kStart);
       const ColdLimit limit{rate_per_s, i / double{kInstances}};
       sent += MaySendCold(window, limit, kStart + first_request);
     }
@@ -91,7 +104,7 @@
 // down.
 TEST(ColdWindowTest, PartsOfARequestAreUsed) {
   ColdWindow window;
-  SetColdByProbe(window, seconds(20), kStart);
+  SetColdByProbe(window, seconds(20), kStart, kStart);
   const ColdLimit limit{1.6, 0};
   int sent = 0;
   for (milliseconds t{0}; t < seconds(10); t += milliseconds(5)) {
