Give conflicting documents of two versions different digests in the fleet model

Callers and servers saw: nothing, the fault was in the test.

Cause: the model gave the digest "conflict" to the conflicting document of every version. An instance that held (2, conflict) and then took (3, conflict) from a peer read version 2 of the service, got "not modified", and found the digest of version 2 equal to the one in force. A read counts only if the service has exactly the version in force (design.md 5.6). The propagation runner takes the digest of the text, which states the version, so that equal digests there mean the same version; the product was right, and so was the oracle, which compares versions and is unchanged.

Evidence: both shrunk series are fixed cases now, which failed before. With the comparison of digests taken out of FinishDocumentRead, both cases, the property and SpreadOracleTest.NoticesNothingWithAllRules fail.

--- a/tests/membership/fleet_model.cc
+++ b/tests/membership/fleet_model.cc
@@ -24,6 +24,12 @@
   return "digest-" + std::to_string(version);
 }
 
+// Differs for each version, as the digest is one of the whole text, which
+// states the version.
+std::string ConflictingDigestOf(uint64_t version) {
+  return "conflict-" + std::to_string(version);
+}
+
 }  // namespace
 
 FleetModel::FleetModel(unsigned seed, PropagationOptions options)
@@ -289,7 +295,8 @@
       return MakeModelVersion(instance.stale_version,
                               DigestOf(instance.stale_version));
     case ServiceMode::kConflict:
-      return MakeModelVersion(published_version_, "conflict");
+      return MakeModelVersion(published_version_,
+                              ConflictingDigestOf(published_version_));
   }
   return nullptr;
 }
--- a/tests/membership/propagation_property_test.cc
+++ b/tests/membership/propagation_property_test.cc
@@ -52,6 +52,53 @@
   RC_ASSERT(RunFaults(seed, steps, {}) == "");
 }
 
+Step AdvanceBy(int duration_ms) {
+  return {Step::Kind::kAdvance, 0, 0, duration_ms};
+}
+
+Step SetService(int slot, ServiceMode mode) {
+  return {Step::Kind::kSetService, slot, static_cast<int>(mode)};
+}
+
+Step Publish() {
+  return {Step::Kind::kPublish};
+}
+
+// Cuts the slots whose bits are set off from the others.
+Step Partition(int slots) {
+  return {Step::Kind::kPartition, 0, slots};
+}
+
+// Guards against a model in which documents of two versions have the same
+// digest, as SHA-256 digests of different texts never do. Here the service goes
+// back to version 2 for an instance that then adopts a version 3 in conflict:
+// reads of version 2 must not confirm version 3 while the instance is cut off.
+TEST(SpreadModelTest, OwnReadOfAnOlderConflictingDocumentConfirmsNothing) {
+  const std::vector<Step> steps{
+      Publish(),      SetService(4, ServiceMode::kConflict),
+      AdvanceBy(25),  SetService(4, ServiceMode::kStale),
+      Publish(),      SetService(0, ServiceMode::kConflict),
+      AdvanceBy(301), Partition(0b01111),
+      AdvanceBy(526), AdvanceBy(2376)};
+  EXPECT_EQ(RunFaults(0, steps, {}), "");
+}
+
+// The same for an instance whose only source of reads is the peer on its side
+// of the partition, which reads version 2.
+TEST(SpreadModelTest, RelayedReadOfAnOlderConflictingDocumentConfirmsNothing) {
+  const std::vector<Step> steps{SetService(2, ServiceMode::kDown),
+                                SetService(0, ServiceMode::kConflict),
+                                Publish(),
+                                SetService(1, ServiceMode::kConflict),
+                                AdvanceBy(76),
+                                SetService(0, ServiceMode::kStale),
+                                Publish(),
+                                AdvanceBy(226),
+                                Partition(0b00101),
+                                AdvanceBy(2926)};
+  EXPECT_EQ(RunFaults(1, steps, {}), "");
+}
+
 // Runs random faults with these options until the oracle finds a violation.
 std::string FirstViolation(const PropagationOptions& options) {
   constexpr int kRuns = 100;
