Count reads in the fleet model only for the same version and digest

The oracle of SpreadProperty counted a relayed read whatever document the peer held, and an own read of another document of the same version. design.md 5.6 counts neither. With the comparison of version and digest taken out of LatestRelayedRead, all Spread tests still passed.

Now the oracle compares both. With the same comparison taken out, SpreadProperty.FaultsBreakNoInvariant and SpreadOracleTest.NoticesNothingWithAllRules fail.

Not covered: a 304 states only the version, so a read still confirms a version in force if the service has another document with its number.

--- a/tests/membership/fleet_model.cc
+++ b/tests/membership/fleet_model.cc
@@ -30,6 +30,19 @@
   return "conflict-" + std::to_string(version);
 }
 
+// A relayed read counts only from a peer with the same version and digest. It
+// counts later too, if the instance then takes the document that the peer held.
+void RecordRelayedReads(ModelInstance& instance) {
+  const VersionPtr held = VersionInForce(instance.versions);
+  if (!held)
+    return;
+  for (const auto& [peer, relayed] : instance.relayed_reads) {
+    if (relayed.version == held->document.version &&
+        relayed.digest == held->digest)
+      instance.read_at = std::max(instance.read_at, relayed.read_at);
+  }
+}
+
 }  // namespace
 
 FleetModel::FleetModel(unsigned seed, PropagationOptions options)
@@ -208,14 +221,17 @@
 
 void FleetModel::Receive(ModelInstance& to, const InFlightMessage& in_flight) {
   const TimePoint now = clock_.Now();
-  if (std::holds_alternative<Heartbeat>(in_flight.message)) {
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&in_flight.message)) {
     TimePoint& heard = to.heard_sent_at[in_flight.from];
     heard = std::max(heard, in_flight.sent_at);
     if (in_flight.sender_serving) {
       TimePoint& serving = to.heard_serving_at[in_flight.from];
       serving = std::max(serving, in_flight.sent_at);
     }
-    to.read_at = std::max(to.read_at, in_flight.sender_read_at);
+    RelayedRead& relayed = to.relayed_reads[in_flight.from];
+    if (in_flight.sent_at >= relayed.sent_at)
+      relayed = {in_flight.sent_at, in_flight.sender_read_at,
+                 heartbeat->version, heartbeat->digest};
     to.half_fleet_heard_at =
         std::max(to.half_fleet_heard_at, HalfFleetHeardAt(to));
   }
@@ -276,8 +292,11 @@
     if (!read.not_modified)
       AdoptVersionIfNewer(instance.versions, served, clock_.WallNow());
     const VersionPtr held = VersionInForce(instance.versions);
-    // A service with an older version than the instance confirms nothing.
-    if (read.service_version >= held->document.version)
+    // A service with an older version than the instance, or another document of
+    // the same version, confirms nothing. A response without a document states
+    // only the version.
+    if (read.service_version == held->document.version &&
+        (read.not_modified || read.service_digest == held->digest))
       instance.read_at = clock_.Now();
   }
   FinishDocumentRead(instance.versions, instance.membership, read, clock_.Now(),
@@ -357,6 +376,7 @@
 
 void FleetModel::CheckInstance(ModelInstance& instance) {
   const TimePoint now = clock_.Now();
+  RecordRelayedReads(instance);
   instance.half_fleet_heard_at =
       std::max(instance.half_fleet_heard_at, HalfFleetHeardAt(instance));
   const VersionPtr held = VersionInForce(instance.versions);
--- a/tests/membership/fleet_model.h
+++ b/tests/membership/fleet_model.h
@@ -34,6 +34,15 @@
   int duration_ms = 0;
 };
 
+/** The latest confirmed read that a peer knew of when it sent a heartbeat. */
+struct RelayedRead {
+  TimePoint sent_at{};
+  TimePoint read_at{};
+  /** Version and digest that the peer held. */
+  uint64_t version = 0;
+  std::string digest;
+};
+
 /** A simulated instance, and what the oracle knows about it. */
 struct ModelInstance {
   Instance self;
@@ -42,13 +51,18 @@
   TimePoint paused_until{};
   ServiceMode service = ServiceMode::kOk;
   uint64_t stale_version = 0;
-  // The next four are actual times, unlike the estimates in the tables.
+  // The next five are actual times, unlike the estimates in the tables.
 
   /** When the latest heartbeat received from each peer was sent. */
   std::map<InstanceId, TimePoint> heard_sent_at;
   /** The same, but only for heartbeats of peers that were not joining. */
   std::map<InstanceId, TimePoint> heard_serving_at;
-  /** The latest confirmed read, its own or of a peer that it heard from. */
+  /** What the latest heartbeat of each peer says of reads. */
+  std::map<InstanceId, RelayedRead> relayed_reads;
+  /**
+   * The latest confirmed read, its own or of a peer that it heard from and that
+   * held the same document.
+   */
   TimePoint read_at{};
   /** The latest contact with half of the fleet. */
   TimePoint half_fleet_heard_at{};
