--- a/src/process/fleet/capacity_grant.cc
+++ b/src/process/fleet/capacity_grant.cc
@@ -21,7 +21,7 @@
 
 // The functions in this namespace are called with the table locked.
 
-/** True if this instance has ever known others, or there are none to find. */
+/** True if this instance has ever known others, or has no seed but itself. */
 bool HasJoined(const FleetTable& table) {
   const MemberList& member_list = table.member_list;
   return table.has_joined || !member_list.members.empty() ||
@@ -71,44 +71,59 @@
   return 2 * live > known ? 1 : static_cast<double>(live) / known;
 }
 
-CapacityGrant MakeGrant(const FleetTable& table,
-                        const GrantInputs& inputs,
-                        TimePoint now) {
-  const MemberList& member_list = table.member_list;
-  const DataCentreId& own_data_centre = member_list.self.data_centre;
-  std::vector<Member> live;
+/** Number of instances that were declared gone in this data centre. */
+int CountGoneHere(const MemberList& member_list) {
+  const auto gone =
+      std::count_if(member_list.members.begin(), member_list.members.end(),
+                    [&member_list](const auto& known) {
+                      const Member& member = known.second.member;
+                      return member.state == MemberState::kGone &&
+                             member.data_centre == member_list.self.data_centre;
+                    });
+  return static_cast<int>(gone);
+}
+
+/** Fills in what is granted for the servers of other data centres. */
+void GrantElsewhere(const FleetTable& table,
+                    const std::vector<Member>& live,
+                    const GrantInputs& inputs,
+                    CapacityGrant& grant) {
   std::set<DataCentreId> attended;
-  int live_here = 0;
-  for (const Member* member : LiveMembers(member_list)) {
-    live.push_back(*member);
-    attended.insert(member->data_centre);
-    live_here += member->data_centre == own_data_centre ? 1 : 0;
-  }
-  int known_here = live_here;
-  for (const auto& [id, entry] : member_list.members) {
-    const bool gone = entry.member.state == MemberState::kGone;
-    known_here += gone && entry.member.data_centre == own_data_centre ? 1 : 0;
-  }
-  if (!IsSettled(table, now) && !table.knows_settled_peer)
-    known_here = std::max(known_here, kAssumedInstances);
-  CapacityGrant grant;
-  grant.part = PartOfGroup(live_here, known_here);
-  grant.instances = live_here;
-  for (const Member* member :
-       SelectAdvertisedInstances(live, own_data_centre, inputs.requests_per_s))
-    grant.advertised.push_back(member->id);
+  for (const Member& member : live)
+    attended.insert(member.data_centre);
   std::set<DataCentreId> all = inputs.server_data_centres;
-  for (const DataCentreId& data_centre : KnownDataCentres(member_list))
+  for (const DataCentreId& data_centre : KnownDataCentres(table.member_list))
     all.insert(data_centre);
   grant.data_centres = static_cast<int>(all.size());
   // The data centres out of reach can have instances and divide the servers
   // here, or those of others, as well.
   if (2 * attended.size() <= all.size()) {
     grant.part /= 2;
-    return grant;
+    return;
   }
   std::set_difference(all.begin(), all.end(), attended.begin(), attended.end(),
                       std::back_inserter(grant.unattended));
+}
+
+CapacityGrant MakeGrant(const FleetTable& table,
+                        const GrantInputs& inputs,
+                        TimePoint now) {
+  const DataCentreId& own_data_centre = table.member_list.self.data_centre;
+  std::vector<Member> live;
+  CapacityGrant grant;
+  grant.instances = 0;
+  for (const Member* member : LiveMembers(table.member_list)) {
+    live.push_back(*member);
+    grant.instances += member->data_centre == own_data_centre ? 1 : 0;
+  }
+  int known = grant.instances + CountGoneHere(table.member_list);
+  if (!IsSettled(table, now) && !table.knows_settled_peer)
+    known = std::max(known, kAssumedInstances);
+  grant.part = PartOfGroup(grant.instances, known);
+  for (const Member* member :
+       SelectAdvertisedInstances(live, own_data_centre, inputs.requests_per_s))
+    grant.advertised.push_back(member->id);
+  GrantElsewhere(table, live, inputs, grant);
   return grant;
 }
 
--- a/tests/members/capacity_grant_test.cc
+++ b/tests/members/capacity_grant_test.cc
@@ -60,7 +60,7 @@
   Member MemberRanked(bool higher) const {
     MemberList list = table_.member_list;
     for (int number = 2;; ++number) {
-      const Member candidate = MakeMember(number, east);
+      Member candidate = MakeMember(number, east);
       if (list.members.count(candidate.id) > 0)
         continue;
       MemberList with_candidate = list;
