--- a/tests/routing/retry_table_test.cc
+++ b/tests/routing/retry_table_test.cc
@@ -57,6 +57,19 @@
     }
   }
 
+  /** Runs all instances with requests that need no retry. */
+  void RunCalmFor(seconds duration, int requests) {
+    const TimePoint end = now_ + duration;
+    for (; now_ < end; now_ += seconds(1)) {
+      for (const auto& table : tables_) {
+        SetInstanceCount(*table, kInstances, now_);
+        for (int i = 0; i < requests; ++i)
+          BeginRequest(*table, work_service, now_);
+      }
+      Record({kInstances * requests, 0});
+    }
+  }
+
   /** Lets time pass without requests. */
   void Pause(seconds duration) {
     now_ += duration;
@@ -113,6 +126,15 @@
   EXPECT_LE(fleet.max_beyond_ratio(), 186);
 }
 
+// Guards against instances that each save up retries from requests and use them
+// together when a service fails.
+TEST(RetryTableTest, SavedRetriesOfAllInstancesStayWithinTheSlack) {
+  RetryFleet fleet;
+  fleet.RunCalmFor(seconds(120), 1);
+  fleet.RunFor(seconds(10), kInstances, 1);
+  EXPECT_LE(fleet.max_beyond_ratio(), 186);
+}
+
 // Guards against a slack that no instance may use: a failed request of a
 // service with few requests then gets no second server.
 TEST(RetryTableTest, SlackIsUsedOnceTheInstancesKnowEachOther) {
