--- a/tests/registry/registry_applier_test.cc
+++ b/tests/registry/registry_applier_test.cc
@@ -124,6 +124,9 @@
   ProbeResult warm;
   warm.answered = true;
   warm.cold_remaining = Duration::zero();
+  // The probe was sent after the record was read.
+  FindServer(tables_.servers.pool, BackendServerId("a"))->probe_sent_at =
+      clock_.Now();
   HandleProbeResult(tables_.servers, BackendServerId("a"), warm, clock_.Now());
   ASSERT_FALSE(is_cold());
   applier.Apply({Item("a", "", 5)});
