Read the usable slots once for each update of the shares

No behaviour changes. Cause: UpdateShares() needed the data centres that have servers, and the request rate the sum of their slots, and each walked all servers under their lock, ten times a second. Now the slots are read once and passed on.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -111,7 +111,10 @@
   void TickMembers();
   void TickServerTable();
   void UpdateShares(const FleetView& view, TimePoint now);
-  double RequestRatePerDataCentre(const FleetView& view) const;
+  /** `slots` has the slots of all usable servers, by data centre. */
+  double RequestRatePerDataCentre(
+      const FleetView& view,
+      const std::map<DataCentreId, double>& slots) const;
   void SendHeartbeats(const std::vector<InstanceId>& due,
                       const FleetView& view);
   void SendHeartbeat(const std::vector<InstanceId>& to,
@@ -415,9 +418,11 @@
 }
 
 void FleetProcess::UpdateShares(const FleetView& view, TimePoint now) {
+  const std::map<DataCentreId, double> slots =
+      UsableSlots(tables_.servers, now);
   GrantInputs inputs;
-  inputs.requests_per_s = RequestRatePerDataCentre(view);
-  for (const auto& [data_centre, slots] : UsableSlots(tables_.servers, now))
+  inputs.requests_per_s = RequestRatePerDataCentre(view, slots);
+  for (const auto& [data_centre, count] : slots)
     inputs.server_data_centres.insert(data_centre);
   RenewGrant(fleet_, inputs, now);
   const InstanceShares shares = ComputeInstanceShares(
@@ -426,13 +431,14 @@
   shares_log_.Write(shares, view.self.data_centre);
 }
 
-double FleetProcess::RequestRatePerDataCentre(const FleetView& view) const {
-  const TimePoint now = clock_.Now();
+double FleetProcess::RequestRatePerDataCentre(
+    const FleetView& view,
+    const std::map<DataCentreId, double>& slots) const {
   double all_slots = 0;
-  for (const auto& [data_centre, slots] : UsableSlots(tables_.servers, now))
-    all_slots += slots;
+  for (const auto& [data_centre, count] : slots)
+    all_slots += count;
   return mangodoor::RequestRatePerDataCentre(
-      view.live, FleetRequestsPerS(fleet_, now), all_slots);
+      view.live, FleetRequestsPerS(fleet_, clock_.Now()), all_slots);
 }
 
 void FleetProcess::SendHeartbeats(const std::vector<InstanceId>& due,
@@ -489,7 +495,8 @@
   AddressInputs inputs;
   inputs.live = view->live;
   inputs.own_data_centre = view->self.data_centre;
-  inputs.requests_per_s = RequestRatePerDataCentre(*view);
+  inputs.requests_per_s = RequestRatePerDataCentre(
+      *view, UsableSlots(tables_.servers, clock_.Now()));
   inputs.requested_host = query.host;
   inputs.caller = query.caller;
   if (const VersionPtr version = VersionInForce(tables_.versions)) {
