Compute shares of advertised instances in one place

No behaviour changes. Cause: the part of an advertised and of another instance, with the same constant, stood both in ShareOf() for cold servers and in PartOf() for probes. ShareOf() now calls PartOf().

--- a/src/process/fleet/capacity_grant.cc
+++ b/src/process/fleet/capacity_grant.cc
@@ -5,14 +5,11 @@
 #include "process/fleet/advertised_instances.h"
 #include "process/fleet/instance_count.h"
 #include "process/fleet/link_plan.h"
+#include "process/servers/instance_shares.h"
 
 namespace mangodoor {
 namespace {
 
-// Callers with cached addresses still send requests to instances that are no
-// longer advertised, though only to a few of them.
-constexpr double kUnadvertisedShare = 0.5;
-
 // An instance may take this long after its start to find the others. Until
 // then, or until it is linked with one that runs for longer, it assumes that
 // its data centre has at least kAssumedInstances, so that groups which have not
@@ -178,12 +175,11 @@
 
 double ShareOf(const CapacityGrant& grant, const InstanceId& instance) {
   const auto& advertised = grant.advertised;
-  if (advertised.empty())
-    return grant.part / grant.instances;
-  if (std::find(advertised.begin(), advertised.end(), instance) !=
-      advertised.end())
-    return grant.part / static_cast<double>(advertised.size());
-  return grant.part * kUnadvertisedShare / grant.instances;
+  const bool is_advertised = std::find(advertised.begin(), advertised.end(),
+                                       instance) != advertised.end();
+  return grant.part *
+         PartOf({grant.instances, static_cast<int>(advertised.size())},
+                is_advertised);
 }
 
 }  // namespace mangodoor
--- a/src/process/servers/instance_shares.cc
+++ b/src/process/servers/instance_shares.cc
@@ -25,13 +25,8 @@
       [](int sum, const auto& entry) { return sum + entry.second; });
 }
 
-/** Instances that divide something among them. */
-struct Sharers {
-  int instances = 0;
-  int advertised_instances = 0;
-};
+}  // namespace
 
-/** The part of one of the sharers; all parts add up to at most 1.5. */
 double PartOf(const Sharers& sharers, bool is_advertised) {
   const int instances = std::max(1, sharers.instances);
   if (sharers.advertised_instances == 0)
@@ -40,8 +35,6 @@
                        : kUnadvertisedShare / instances;
 }
 
-}  // namespace
-
 bool operator==(const ShareCounts& a, const ShareCounts& b) {
   return a.instances == b.instances &&
          a.advertised_instances == b.advertised_instances &&
--- a/src/process/servers/instance_shares.h
+++ b/src/process/servers/instance_shares.h
@@ -68,6 +68,15 @@
 ShareCounts CountsOf(const InstanceShares& shares,
                      const DataCentreId& data_centre);
 
+/** Instances that divide something among them. */
+struct Sharers {
+  int instances = 0;
+  int advertised_instances = 0;
+};
+
+/** The part of one of the sharers; all parts add up to at most 1.5. */
+double PartOf(const Sharers& sharers, bool is_advertised);
+
 /** Number of running instances in the fleet, at least 1. */
 int TotalInstances(const InstanceShares& shares);
 
