Review: a cold server of a service without load reports is flooded

Claim: FAILBACK is broken when a server that does not tell its load becomes cold again: such servers are never probed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -19,7 +19,9 @@
 g++ "${options[@]}" -I . platform/standins/server.cc \
   platform/standins/lib/*.cc "${libraries[@]}" -o "$out/server" &
 server=$!
-g++ -std=c++17 -O1 -Wall -Wextra review/standin-2/caller.cc -lpthread \
-  -o "$out/caller"
+for name in caller plain_server; do
+  g++ -std=c++17 -O1 -Wall -Wextra "review/standin-2/$name.cc" -lpthread \
+    -o "$out/$name"
+done
 wait "$store"
 wait "$server"
--- a/review/standin-2/fleet.sh
+++ b/review/standin-2/fleet.sh
@@ -36,7 +36,7 @@
 }
 
 for program in "$root/target/mangodoor-platform" "$bin/store" "$bin/server" \
-  "$bin/caller"; do
+  "$bin/caller" "$bin/plain_server"; do
   [ -x "$program" ] || give_up "$program is missing"
 done
 
