--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,53 +1,73 @@
 #!/usr/bin/env bash
-# A version splits a route 97.5 to 2.5 and takes a key away. The instances
-# refuse the whole version, and go on to run requests with the key.
+# The settings change: GraceS becomes a fraction. The running processes refuse
+# the new settings, and once they are stopped and started in turn, none starts.
 source "$(dirname "$0")/../standin-2/fleet.sh"
 
-config() { # VERSION WEIGHT WEIGHT KEYS
-  echo '{"Version":"0000000'$1'","Resources":[
-{"ResourceKind":"Routes","Metadata":{"Name":"p"},"Spec":{"Host":"a.example","Prefix":"/p/","Kind":"unsafe","TimeoutMs":1000,"TargetLatencyMs":250,"Priority":1,"TrafficSplit":[{"Service":"s","Weight":'$2'},{"Service":"o","Weight":'$3'}],"MaxAttempts":2,"Public":false}},
+config='{"Version":"00000001","Resources":[
+{"ResourceKind":"Routes","Metadata":{"Name":"p"},"Spec":{"Host":"a.example","Prefix":"/p/","Kind":"safe","TimeoutMs":1000,"TargetLatencyMs":250,"Priority":1,"Service":"s","MaxAttempts":2,"Public":true}},
 {"ResourceKind":"Services","Metadata":{"Name":"s"},"Spec":{"HealthPath":"/health","MaxConns":220,"ColdStartS":0,"ColdPerS":0}},
-{"ResourceKind":"Services","Metadata":{"Name":"o"},"Spec":{"HealthPath":"/health","MaxConns":220,"ColdStartS":0,"ColdPerS":0}},
-{"ResourceKind":"Tenants","Metadata":{"Name":"t"},"Spec":{"ApiKeys":['$4'],"RatePerS":1000,"Burst":1000}},
 {"ResourceKind":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}]}'
-}
+machines=(1 2)
+declare -A zone_of=([1]=zone-a [2]=zone-b)
 
-call() { # KEY SECONDS NAME
+send() { # NAME
   "$bin/caller" --to "$net.1:$port_front,$net.2:$port_front" --host a.example \
-    --method POST --body 100 --path /p/x --key "$1" --rate 10 --seconds "$2" \
-    --workers 2 --ids "$3" --out "$work/$3"
-  sed "s/^/$3 /" "$work/$3" >> "$record"
+    --path /p/x --rate 10 --seconds 3 --workers 2 --ids "$1" --out "$work/$1"
+  sed "s/^/$1 /" "$work/$1" >> "$record"
 }
-with_status() { awk -v s="$2" '$5 == s { n++ } END { print n + 0 }' "$work/$1"; }
+
+served() { awk '$5 == 200 && $6 == 1 { n++ } END { print n + 0 }' "$work/$1"; }
 
 start_store
-put op/config "$(config 1 90 10 '"key-a","key-b"')"
-n=101
-for service in s o; do
-  for zone in zone-a zone-b; do
-    start_server $n "$service" "$zone"
-    n=$((n + 1))
-  done
+put op/config "$config"
+start_server 101 s zone-a
+start_server 102 s zone-b
+for machine in "${machines[@]}"; do
+  start_instance "$machine" "${zone_of[$machine]}" "1 2"
 done
-start_instance 1 zone-a "1 2"
-start_instance 2 zone-b "1 2"
-wait_ready 15 1 2 || give_up "the instances do not get ready"
+wait_ready 15 "${machines[@]}" || give_up "the instances do not get ready"
 sleep 4
-call key-a 3 before
+send before
+say "before: $(served before) of $(wc -l < "$work/before") served"
+
+grace_s=5
+[ "$trouble" = 0 ] || grace_s=5.5
+say "GraceS becomes $grace_s; SIGHUP to all"
+for machine in "${machines[@]}"; do
+  write_settings "$machine" "${zone_of[$machine]}" "1 2"
+  kill -HUP "${instance_pid[$machine]}"
+done
+sleep 1
+grep -ho '"event":"settings_re[a-z]*".*' "$work"/instance-*.log |
+  sed "s|$work/||g" | tee -a "$record"
 
-weights=(97.5 2.5)
-[ "$trouble" = 0 ] && weights=(97 3)
-say "key-a is taken away; weights ${weights[*]}"
-put op/config "$(config 2 "${weights[@]}" '"key-b"')"
-# ConfigApplyMs is 2 s.
-sleep 10
-call key-a 3 after
-call key-b 3 other
-grep -ho '"event":"entry_refused".*' "$work"/instance-*.log | tee -a "$record"
-say "before: $(with_status before 200) of $(wc -l < "$work/before") with key-a were run"
-say "later than 10 s after the confirmation: $(with_status after 200) with key-a were run, $(with_status after 401) got 401; $(with_status other 200) with key-b were run"
-[ "$(with_status before 200)" -gt 0 ] && [ "$(with_status other 200)" -gt 0 ] ||
-  give_up "the keys could not be used"
-[ "$(with_status after 200)" -gt 0 ] && { say "CONFIG is broken"; exit 1; }
-say "CONFIG holds"
+starts=0 failed=0
+for machine in "${machines[@]}"; do
+  say "machine $machine gets SIGTERM, and is started again when it has ended"
+  kill -TERM "${instance_pid[$machine]}"
+  for _ in {1..70}; do
+    kill -0 "${instance_pid[$machine]}" 2> /dev/null || break
+    sleep 0.1
+  done
+  kill -KILL "${instance_pid[$machine]}" 2> /dev/null
+  # A process that exits is restarted after a short delay.
+  for _ in 1 2 3; do
+    sleep 0.5
+    start_instance "$machine" "${zone_of[$machine]}" "1 2"
+    starts=$((starts + 1))
+    wait_ready 4 "$machine" && break
+    kill -0 "${instance_pid[$machine]}" 2> /dev/null && break
+    failed=$((failed + 1))
+    say "the process of machine $machine has ended by itself: $(
+      grep -h '^error: ' "$work/instance-$machine.log" | tail -1 |
+        sed "s|$work/||")"
+  done
+done
+sleep 2
+send after
+say "after: $(served after) of $(wc -l < "$work/after") served; $failed of $starts starts failed"
+[ "$(served before)" -gt 0 ] || give_up "nothing was served before"
+[ "$failed" -gt 0 ] && { say "Fault: a program doesn't start"; exit 1; }
+[ "$(served after)" -gt 0 ] || give_up "nothing was served after"
+say "all programs started"
 exit 0
