Start with any figure that the platform fills into the settings

Cause: the template wrote "000" behind a bound in seconds and the settings took whole milliseconds only. Any value that could not be used ended the start, and the platform starts the process again with the same settings.

Evidence: the start's own line, "/fleet/stop_grace_ms: 5.5; allowed: an integer from 1 to 3600000", and settings_rejected on SIGHUP.

A number outside its range becomes the nearest allowed one, and one that cannot be read is replaced by the default, on SIGHUP by the value in use, with a line in the log. An instance serves with any of these figures, and cannot without an address, so faults there still end the start. The checking commands report replaced values as faults. Old settings files are read as before.

--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -81,6 +81,17 @@
   return self;
 }
 
+// A figure that cannot be used is no reason not to serve, but operators have to
+// know of it.
+void LogReplaced(const Settings& settings) {
+  for (const ReplacedSetting& replaced : settings.replaced)
+    Log(LogLevel::kWarning, "setting_replaced",
+        {{"setting", replaced.path},
+         {"seen", replaced.seen},
+         {"allowed", replaced.allowed},
+         {"used", replaced.used}});
+}
+
 std::chrono::milliseconds FractionOf(std::chrono::milliseconds whole,
                                      double fraction) {
   return std::chrono::milliseconds(
@@ -251,6 +262,7 @@
  * use.
  */
 void FleetProcess::ApplySettings(const Settings& settings) {
+  LogReplaced(settings);
   {
     OrderedLock lock(fleet_.mutex);
     fleet_.seeds = settings.fleet->seeds;
@@ -280,8 +292,8 @@
 
 void FleetProcess::ReloadSettings() {
   try {
-    auto settings =
-        std::make_shared<const Settings>(LoadSettings(settings_path_));
+    auto settings = std::make_shared<const Settings>(
+        LoadSettings(settings_path_, *CurrentSettings()->fleet));
     if (!settings->fleet)
       throw std::runtime_error(settings_path_ + ": /fleet: absent");
     ApplySettings(*settings);
--- a/src/process/io/settings.cc
+++ b/src/process/io/settings.cc
@@ -1,8 +1,10 @@
 #include "process/io/settings.h"
 
+#include <cmath>
 #include <set>
 #include <utility>
 
+#include "process/io/figure_reader.h"
 #include "process/io/text_file.h"
 #include "version/field_check.h"
 #include "version/io/json_reader.h"
@@ -17,7 +19,10 @@
 
 constexpr Range<int64_t> kWorkerThreadsRange{1, 64};
 constexpr size_t kMaxSettingsBytes = 64 * 1024;
-constexpr Range<int64_t> kPeriodRangeMs{1, 3600000};
+constexpr Range<double> kPeriodRangeMs{1, 3600000};
+constexpr Range<double> kKeepRangeMs{kAddressKeepRangeMs.lowest,
+                                     kAddressKeepRangeMs.highest};
+constexpr Range<double> kCoresRange{0.001, kWorkerThreadsRange.highest};
 constexpr Range<double> kProcessorShareRange{0.001, 1};
 constexpr Range<double> kRatioRange{0, 100};
 constexpr Range<double> kSlackRange{0, 1000000};
@@ -75,66 +80,105 @@
   }
 }
 
-void ReadSeeds(ObjectReader& object, std::vector<Endpoint>& seeds) {
-  const nlohmann::json* list = ReadList(object, "seeds", Presence::kRequired);
+// A seed that cannot be read is left out: the others are enough to find the
+// fleet, and the instances of the fleet can find this one.
+void ReadSeeds(FigureReader& reader, std::vector<Endpoint>& seeds) {
+  const nlohmann::json* list =
+      ReadList(reader.object, "seeds", Presence::kRequired);
   if (!list)
     return;
-  for (const nlohmann::json& seed : *list) {
-    seeds.push_back(DecodeEndpoint(
-        seed, object.path + "/seeds/" + std::to_string(seeds.size()),
-        object.faults));
+  for (size_t i = 0; i < list->size(); ++i) {
+    std::vector<Fault> faults;
+    const Endpoint seed = DecodeEndpoint(
+        (*list)[i], reader.object.path + "/seeds/" + std::to_string(i), faults);
+    if (faults.empty())
+      seeds.push_back(seed);
+    for (const Fault& fault : faults)
+      reader.replaced.push_back({fault.where, fault.seen, fault.allowed, ""});
   }
 }
 
-void ReadTolerance(ObjectReader& object, UsageTolerance& tolerance) {
-  std::chrono::milliseconds window(5000);
-  ReadMilliseconds(object, "limit_window_ms", kPeriodRangeMs, window);
-  tolerance.window = window;
-  ReadNumber(object, "limit_overage", Presence::kOptional, kRatioRange,
-             tolerance.overage);
-  ReadNumber(object, "limit_slack", Presence::kOptional, kSlackRange,
-             tolerance.slack);
+std::chrono::milliseconds ToMilliseconds(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
-void ReadRetries(ObjectReader& object, RetryPolicy& retries) {
-  std::chrono::milliseconds window(10000);
-  ReadNumber(object, "retry_ratio", Presence::kOptional, kRatioRange,
-             retries.ratio);
-  ReadMilliseconds(object, "retry_window_ms", kPeriodRangeMs, window);
-  retries.window = window;
-  ReadNumber(object, "retry_slack", Presence::kOptional, kSlackRange,
-             retries.fleet_slack);
+void ReadTolerance(FigureReader& reader,
+                   UsageTolerance& tolerance,
+                   const UsageTolerance& in_use) {
+  tolerance.window = ReadTime(
+      reader, "limit_window", kPeriodRangeMs,
+      {ToMilliseconds(tolerance.window), ToMilliseconds(in_use.window)});
+  tolerance.overage = ReadFigure(reader, "limit_overage", kRatioRange,
+                                 {tolerance.overage, in_use.overage});
+  tolerance.slack = ReadFigure(reader, "limit_slack", kSlackRange,
+                               {tolerance.slack, in_use.slack});
+}
+
+void ReadRetries(FigureReader& reader,
+                 RetryPolicy& retries,
+                 const RetryPolicy& in_use) {
+  retries.ratio = ReadFigure(reader, "retry_ratio", kRatioRange,
+                             {retries.ratio, in_use.ratio});
+  retries.window =
+      ReadTime(reader, "retry_window", kPeriodRangeMs,
+               {ToMilliseconds(retries.window), ToMilliseconds(in_use.window)});
+  retries.fleet_slack = ReadFigure(reader, "retry_slack", kSlackRange,
+                                   {retries.fleet_slack, in_use.fleet_slack});
+}
+
+/** Reads the times and flags that a reload can change. */
+void ReadPeriods(FigureReader& reader,
+                 FleetSettings& fleet,
+                 const FleetSettings& in_use) {
+  fleet.stop_grace = ReadTime(reader, "stop_grace", kPeriodRangeMs,
+                              {fleet.stop_grace, in_use.stop_grace});
+  fleet.address_keep = ReadTime(reader, "address_keep", kKeepRangeMs,
+                                {fleet.address_keep, in_use.address_keep});
+  fleet.fenced_when_stale =
+      ReadSwitch(reader, "fenced_when_stale",
+                 {fleet.fenced_when_stale, in_use.fenced_when_stale});
+  fleet.fence_after = ReadTime(reader, "fence_after", kPeriodRangeMs,
+                               {fleet.fence_after, in_use.fence_after});
+}
+
+/** Reads how much of the machine the process may use. */
+void ReadProcessor(FigureReader& reader,
+                   FleetSettings& fleet,
+                   const FleetSettings& in_use,
+                   int& worker_threads) {
+  fleet.processor_share =
+      ReadFigure(reader, "processor_share", kProcessorShareRange,
+                 {fleet.processor_share, in_use.processor_share});
+  const auto threads = static_cast<double>(worker_threads);
+  worker_threads = static_cast<int>(
+      std::ceil(ReadFigure(reader, "cores", kCoresRange, {threads, threads})));
 }
 
 void ReadFleet(ObjectReader& parent,
                std::set<Endpoint>& used,
-               std::optional<FleetSettings>& fleet) {
+               const FleetSettings& in_use,
+               Settings& settings) {
   parent.known.emplace_back("fleet");
   if (!parent.json || !parent.json->contains("fleet"))
     return;
-  fleet.emplace();
+  FleetSettings& fleet = settings.fleet.emplace();
   ObjectReader object = OpenObject(parent.json->at("fleet"),
                                    parent.path + "/fleet", parent.faults);
-  ReadSeeds(object, fleet->seeds);
-  ReadAddress(object, "store", fleet->store, nullptr);
-  ReadAddress(object, "directory", fleet->directory, &used);
-  ReadAddress(object, "readiness", fleet->readiness, &used);
-  ReadNumber(object, "processor_share", Presence::kOptional,
-             kProcessorShareRange, fleet->processor_share);
-  ReadTolerance(object, fleet->tolerance);
-  ReadRetries(object, fleet->retries);
-  ReadNumber(object, "probes_per_s", Presence::kOptional, kProbeBudgetRange,
-             fleet->probes_per_s);
-  ReadMilliseconds(object, "stop_grace_ms", kPeriodRangeMs, fleet->stop_grace);
-  ReadMilliseconds(object, "address_keep_ms", kAddressKeepRangeMs,
-                   fleet->address_keep);
-  ReadFlag(object, "fenced_when_stale", fleet->fenced_when_stale);
-  ReadMilliseconds(object, "fence_after_ms", kPeriodRangeMs,
-                   fleet->fence_after);
+  FigureReader reader{object, settings.replaced};
+  ReadSeeds(reader, fleet.seeds);
+  ReadAddress(object, "store", fleet.store, nullptr);
+  ReadAddress(object, "directory", fleet.directory, &used);
+  ReadAddress(object, "readiness", fleet.readiness, &used);
+  ReadProcessor(reader, fleet, in_use, settings.worker_threads);
+  ReadTolerance(reader, fleet.tolerance, in_use.tolerance);
+  ReadRetries(reader, fleet.retries, in_use.retries);
+  fleet.probes_per_s = ReadFigure(reader, "probes_per_s", kProbeBudgetRange,
+                                  {fleet.probes_per_s, in_use.probes_per_s});
+  ReadPeriods(reader, fleet, in_use);
   RejectUnknownFields(object);
 }
 
-Settings ReadFields(ObjectReader& object) {
+Settings ReadFields(ObjectReader& object, const FleetSettings& in_use) {
   Settings settings;
   ReadName(object, "id", settings.self.id);
   ReadName(object, "data_centre", settings.self.data_centre);
@@ -142,15 +186,15 @@
   ReadAddress(object, "caller", settings.self.caller_endpoint, &used);
   ReadAddress(object, "peer", settings.self.peer_endpoint, &used);
   ReadAddress(object, "admin", settings.admin_endpoint, &used);
-  ReadFleet(object, used, settings.fleet);
+  ReadInteger(object, "worker_threads", Presence::kOptional,
+              kWorkerThreadsRange, settings.worker_threads);
+  ReadFleet(object, used, in_use, settings);
   if (!settings.fleet) {
     ReadAddress(object, "configuration_service", settings.configuration_service,
                 nullptr);
     ReadAddress(object, "instance_list", settings.instance_list, nullptr);
   }
   ReadSecret(object, settings.fleet_secret);
-  ReadInteger(object, "worker_threads", Presence::kOptional,
-              kWorkerThreadsRange, settings.worker_threads);
   ReadLogLevel(object, settings.log_level);
   RejectUnknownFields(object);
   return settings;
@@ -173,20 +217,22 @@
     : std::runtime_error(FormatFaults(file, faults)),
       faults_(std::move(faults)) {}
 
-Settings DecodeSettings(const std::string& text, const std::string& file) {
+Settings DecodeSettings(const std::string& text,
+                        const std::string& file,
+                        const FleetSettings& in_use) {
   std::vector<Fault> faults;
   const std::optional<nlohmann::json> json = ParseJsonText(text, faults);
   if (!json)
     throw SettingsError(file, std::move(faults));
   ObjectReader object = OpenObject(*json, "", faults);
-  Settings settings = ReadFields(object);
+  Settings settings = ReadFields(object, in_use);
   if (!faults.empty())
     throw SettingsError(file, std::move(faults));
   return settings;
 }
 
-Settings LoadSettings(const std::string& path) {
-  return DecodeSettings(ReadTextFile(path, kMaxSettingsBytes), path);
+Settings LoadSettings(const std::string& path, const FleetSettings& in_use) {
+  return DecodeSettings(ReadTextFile(path, kMaxSettingsBytes), path, in_use);
 }
 
 }  // namespace mangodoor
--- a/src/process/io/settings.h
+++ b/src/process/io/settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "process/accounts/usage_limiter.h"
+#include "process/io/figure_reader.h"
 #include "process/io/log.h"
 #include "process/membership/membership.h"
 #include "process/servers/retry_table.h"
@@ -62,6 +63,8 @@
   LogLevel log_level = LogLevel::kInfo;
   /** Set if there is no instance list and no configuration service. */
   std::optional<FleetSettings> fleet;
+  /** Values of `fleet` that could not be used. */
+  std::vector<ReplacedSetting> replaced;
 };
 
 /** Thrown for invalid settings, with all of their faults. */
@@ -76,14 +79,20 @@
   std::vector<Fault> faults_;
 };
 
-/** Decodes and checks settings. Throws a SettingsError that names `file`. */
-Settings DecodeSettings(const std::string& text, const std::string& file);
+/**
+ * Decodes and checks settings. Throws a SettingsError that names `file`. A
+ * figure of `fleet` that cannot be read is replaced by that of `in_use`.
+ */
+Settings DecodeSettings(const std::string& text,
+                        const std::string& file,
+                        const FleetSettings& in_use = {});
 
 /**
  * Reads a settings file. Throws SettingsError, or std::runtime_error if the
  * file cannot be read.
  */
-Settings LoadSettings(const std::string& path);
+Settings LoadSettings(const std::string& path,
+                      const FleetSettings& in_use = {});
 
 }  // namespace mangodoor
 
--- a/src/programs/check.cc
+++ b/src/programs/check.cc
@@ -45,6 +45,10 @@
 bool CheckSettings(const std::string& path) {
   try {
     const Settings settings = LoadSettings(path);
+    for (const ReplacedSetting& replaced : settings.replaced)
+      std::cout << path << ": " << ToString(replaced) << "\n";
+    if (!settings.replaced.empty())
+      return false;
     std::cout << path << ": good, instance " << settings.self.id << " in "
               << settings.self.data_centre << "\n";
     return true;
--- a/tests/platform_fleet/platform_fleet_test.cc
+++ b/tests/platform_fleet/platform_fleet_test.cc
@@ -167,6 +167,30 @@
   EXPECT_EQ(fleet.instance(0).WaitForExit(kStopGrace), 0);
 }
 
+// Guards against review case 10: once the grace period was changed to a
+// fraction, every process that was stopped could not be started again.
+TEST(PlatformFleetTest, GraceWithAFractionStopsAndStarts) {
+  PlatformFleet fleet({2, 1, 2, 5});
+  ASSERT_TRUE(fleet.WaitUntilReady(kStartLimit));
+  for (int i = 0; i < fleet.instances(); ++i) {
+    fleet.WriteSettings(i, {{"Bounds", {{"GraceS", 5.5}}}});
+    fleet.instance(i).Signal(SIGHUP);
+  }
+  ASSERT_TRUE(WaitFor(
+      [&] {
+        return fleet.LogOf(0).find("settings_reloaded") != std::string::npos;
+      },
+      kStartLimit))
+      << fleet.LogOf(0);
+  for (int i = 0; i < fleet.instances(); ++i) {
+    fleet.instance(i).Signal(SIGTERM);
+    EXPECT_EQ(fleet.instance(i).WaitForExit(kStopGrace), 0);
+    fleet.StartInstance(i);
+    EXPECT_TRUE(fleet.WaitUntilReady(kStartLimit));
+  }
+  EXPECT_EQ(fleet.Call(fleet.caller_endpoint(0), "a").status, 200);
+}
+
 // Guards against a signal that ends an instance because it comes while the
 // instance starts: here, while it reads its settings from a pipe.
 TEST(PlatformFleetTest, SignalsDuringTheStartAreHandled) {
