Send trial requests where the estimated work refuses all others

Cause: a request is refused if 0.6 of the usual work of its route does not fit into its time. The usual work is learned only from responses to requests that were sent. Once it was too long for all of them, none was sent, and nothing could correct it: no version, no new server, no age.

The log named them queue_full, like those of a full queue; they are deadline_exceeded now.

Fix: if nothing was learned of a route for 1 s, a request that the estimate would refuse is sent as a trial; the interval doubles up to 4 s, and is four times as long for requests that may run only once. An answer that the estimate excluded replaces it, and old observations weigh less. A version forgets the routes that it does not have, so the limit on their number is no longer needed.

Ruled out: the removal of the route alone. Forgetting removed routes would pass the case, but not a time-out that only gets shorter, nor the first estimate.

--- a/src/process/servers/fair_queue.h
+++ b/src/process/servers/fair_queue.h
@@ -12,12 +12,22 @@
 
 namespace mangodoor {
 
+/** A request that is sent to find out whether its work still takes so long. */
+struct Trial {
+  /** The expected time of its work. */
+  Duration doubted{};
+  /** It is refused if it was not sent before this time. */
+  TimePoint until{};
+};
+
 /** A request that waits for a server. */
 struct Waiter {
   uint64_t ticket = 0;
   ServerRequirements requirements;
   uint64_t random = 0;
   ServerCallback done;
+  /** Set for a trial request; see TakeTrial(). */
+  std::optional<Trial> trial = std::nullopt;
 };
 
 /** The waiting requests of one client account, oldest first. */
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -33,9 +33,9 @@
 // probed, too: a response from there is then worth the traffic.
 constexpr Duration kRemoteProbeSlack = milliseconds(40);
 
-// The fastest requests take about half of the usual time. A request that has
-// less time left than this fraction of the usual time is refused.
-constexpr double kFastestWorkFraction = 0.6;
+// How long a trial request may wait for a server. Its deadline is probably too
+// short, so its caller must not wait for nothing.
+constexpr Duration kMaxTrialWait = milliseconds(100);
 
 // Up to this factor, a server counts as not slowed down.
 constexpr double kMaxGoodSlowdown = 1.05;
@@ -278,9 +278,26 @@
 bool CannotMeetDeadline(const ServiceEntry& service,
                         const Waiter& waiter,
                         TimePoint now) {
-  return now + Scaled(UsualWork(service, waiter.requirements),
-                      kFastestWorkFraction) >=
-         waiter.requirements.deadline;
+  const ServerRequirements& requirements = waiter.requirements;
+  const Duration needed =
+      waiter.trial ? Duration::zero()
+                   : ShortestWork(service.work_model, requirements.route,
+                                  requirements.target);
+  return now + needed >= requirements.deadline ||
+         (waiter.trial && now >= waiter.trial->until);
+}
+
+/** Makes the request a trial if one is due and its deadline seems too short. */
+void MakeTrialIfDue(ServiceEntry& service, Waiter& waiter, TimePoint now) {
+  const ServerRequirements& requirements = waiter.requirements;
+  if (now >= requirements.deadline || !CannotMeetDeadline(service, waiter, now))
+    return;
+  const Duration doubted = UsualWork(service, requirements);
+  if (TakeTrial(
+          service.work_model,
+          {requirements.route, requirements.target, requirements.idempotent},
+          now))
+    waiter.trial = Trial{doubted, now + kMaxTrialWait};
 }
 
 bool HasUsableServer(const ServiceEntry& service,
@@ -351,16 +368,18 @@
 
 }  // namespace
 
-bool EnqueueForPlacement(ServerPool& pool,
-                         ServiceEntry& service,
-                         Waiter waiter,
-                         TimePoint now) {
-  if (CannotMeetDeadline(service, waiter, now) ||
-      service.placement_queue.size() >= pool.max_waiting)
-    return false;
+std::optional<ErrorKind> EnqueueForPlacement(ServerPool& pool,
+                                             ServiceEntry& service,
+                                             Waiter waiter,
+                                             TimePoint now) {
+  if (service.placement_queue.size() >= pool.max_waiting)
+    return ErrorKind::kQueueFull;
+  MakeTrialIfDue(service, waiter, now);
+  if (CannotMeetDeadline(service, waiter, now))
+    return ErrorKind::kDeadlineExceeded;
   service.placement_queue.push_back(std::move(waiter));
   CountRequest(service.probe_credit, now);
-  return true;
+  return std::nullopt;
 }
 
 void PlaceWaitingRequests(ServerPool& pool,
@@ -380,10 +399,13 @@
       continue;
     }
     ChosenServer chosen = ToChosenServer(pool, *server, now);
-    chosen.placement = {true, waiter.requirements.route,
-                        server->load_estimate.slowness,
-                        IsNearFull(RequestsAt(*server), server->slots),
-                        now - server->load_estimate.at};
+    chosen.placement = {
+        true,
+        waiter.requirements.route,
+        server->load_estimate.slowness,
+        IsNearFull(RequestsAt(*server), server->slots),
+        now - server->load_estimate.at,
+        waiter.trial ? std::optional(waiter.trial->doubted) : std::nullopt};
     Reserve(pool, *server, now);
     AddDecision(pool, waiter, std::move(chosen));
   }
@@ -429,10 +451,10 @@
 }
 
 void RecordWork(ServiceEntry& service,
-                const ServerEntry&,
-                const AttemptResult& result) {
+                const AttemptResult& result,
+                TimePoint now) {
   if (result.end == AttemptResult::End::kAnswered)
-    RecordLatency(service.work_model, result.placement, result.latency);
+    RecordLatency(service.work_model, result.placement, result.latency, now);
 }
 
 }  // namespace mangodoor
--- a/src/process/servers/placement.h
+++ b/src/process/servers/placement.h
@@ -1,6 +1,7 @@
 #ifndef PROCESS_SERVERS_PLACEMENT_H_
 #define PROCESS_SERVERS_PLACEMENT_H_
 
+#include <optional>
 #include <vector>
 
 #include "process/servers/server_pool.h"
@@ -15,13 +16,13 @@
 // probe costs far less than a response that takes five times as long.
 
 /**
- * Adds a request to the placement queue. Returns false if it cannot meet its
- * deadline or the queue is full.
+ * Adds a request to the placement queue, or returns why it is refused: it
+ * cannot meet its deadline, or the queue is full.
  */
-bool EnqueueForPlacement(ServerPool& pool,
-                         ServiceEntry& service,
-                         Waiter waiter,
-                         TimePoint now);
+std::optional<ErrorKind> EnqueueForPlacement(ServerPool& pool,
+                                             ServiceEntry& service,
+                                             Waiter waiter,
+                                             TimePoint now);
 
 /**
  * Chooses servers for waiting requests, requests probes where no load is known,
@@ -42,8 +43,8 @@
 
 /** Adds the result of an attempt to the service's work model. */
 void RecordWork(ServiceEntry& service,
-                const ServerEntry& server,
-                const AttemptResult& result);
+                const AttemptResult& result,
+                TimePoint now);
 
 }  // namespace mangodoor
 
--- a/src/process/servers/server_choice.cc
+++ b/src/process/servers/server_choice.cc
@@ -181,8 +181,9 @@
                                Waiter waiter,
                                TimePoint now) {
   const uint64_t ticket = waiter.ticket;
-  if (!EnqueueForPlacement(pool, service, std::move(waiter), now))
-    return RefusedReply(ErrorKind::kQueueFull);
+  if (const auto refusal =
+          EnqueueForPlacement(pool, service, std::move(waiter), now))
+    return RefusedReply(*refusal);
   PlaceWaitingRequests(pool, service, now);
   ServerReply reply;
   reply.ticket = ticket;
--- a/src/process/servers/server_feedback.cc
+++ b/src/process/servers/server_feedback.cc
@@ -188,7 +188,7 @@
 
 void HandleEnd(Feedback& feedback, const AttemptResult& result) {
   if (feedback.server.discovered)
-    RecordWork(feedback.service, feedback.server, result);
+    RecordWork(feedback.service, result, feedback.now);
   switch (result.end) {
     case End::kAnswered:
       HandleAnswer(feedback, result);
--- a/src/process/servers/server_request.h
+++ b/src/process/servers/server_request.h
@@ -58,6 +58,8 @@
   Duration target{};
   /** 0 is the highest priority. */
   int priority = 0;
+  /** True if the request may run more than once. */
+  bool idempotent = true;
 };
 
 struct ServerReply {
--- a/src/process/servers/server_version.cc
+++ b/src/process/servers/server_version.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <set>
+#include <string>
 #include <unordered_set>
 
 #include "process/membership/rendezvous.h"
@@ -90,6 +92,24 @@
   }
 }
 
+/** True if the version sends requests of the route to the service. */
+bool LeadsTo(const Route& route, const ServiceId& service) {
+  return route.service == service ||
+         std::any_of(
+             route.split.begin(), route.split.end(),
+             [&](const RoutePart& part) { return part.service == service; });
+}
+
+// A route that is added again can stand for other work than before.
+void ForgetOtherRoutes(ServiceEntry& service, const Version& version) {
+  std::set<std::string> names;
+  for (const Route& route : version.document.routes) {
+    if (LeadsTo(route, service.id))
+      names.insert(NameOf(route));
+  }
+  KeepRoutes(service.work_model, names);
+}
+
 /**
  * Marks servers that the version no longer names as unlisted. Removes unlisted
  * servers that have no outstanding requests.
@@ -139,6 +159,8 @@
     ApplyService(pool, service, context);
   DropServices(pool, version);
   DropServers(pool, version);
+  for (auto& [id, service] : pool.services)
+    ForgetOtherRoutes(service, version);
   for (auto& [id, service] : pool.services)
     ServeQueue(pool, service, now);
   ServerActions actions;
--- a/src/process/servers/work_model.cc
+++ b/src/process/servers/work_model.cc
@@ -1,6 +1,7 @@
 #include "process/servers/work_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mangodoor {
 namespace {
@@ -18,24 +19,56 @@
 constexpr int kTargetPerUsualWork = 3;
 constexpr Duration kDefaultWork = std::chrono::milliseconds(50);
 
-// More routes than any service has. At this limit all are dropped, among them
-// the routes of earlier versions.
-constexpr size_t kMaxRoutes = 1000;
+// The fastest requests take about half of the usual time.
+constexpr double kFastestWorkFraction = 0.6;
+
+// On a route with few requests, those of a minute ago say little.
+constexpr Duration kWorkTimeConstant = std::chrono::seconds(20);
+
+// The estimate decides which requests are sent, and is learned only from these.
+// If it does not let any through, one is sent after this time without a
+// response, which doubles with each trial that gets none.
+constexpr Duration kFirstTrialInterval = std::chrono::seconds(1);
+constexpr int kMaxTrialDoublings = 2;
+// A caller does not learn whether such a request has run if it is not answered.
+constexpr int kUnrepeatableTrialFactor = 4;
 
 Duration Scaled(Duration duration, double factor) {
   return Duration(
       static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
 }
 
+/** Weight of a new sample in the mean. */
+double SampleWeight(const RouteWork& work, TimePoint now) {
+  const double gap =
+      Seconds(now - work.learned_at.value_or(now)) / Seconds(kWorkTimeConstant);
+  return std::max({kMinWorkWeight, 1.0 / work.samples, 1 - std::exp(-gap)});
+}
+
+// A trial that is answered faster than the model allows shows that the model
+// was learned from other servers, or from other work.
+bool Refutes(const PlacementRecord& placement, Duration usual) {
+  return placement.doubted &&
+         usual < Scaled(*placement.doubted, kFastestWorkFraction);
+}
+
 void RecordUsualWork(WorkModel& model,
-                     const std::string& name,
-                     Duration usual) {
-  if (model.routes.size() >= kMaxRoutes)
-    model.routes.clear();
-  RouteWork& route = model.routes[name];
-  ++route.samples;
-  const double weight = std::max(kMinWorkWeight, 1.0 / route.samples);
-  route.mean += Scaled(usual - route.mean, weight);
+                     const PlacementRecord& placement,
+                     Duration usual,
+                     TimePoint now) {
+  RouteWork& work = model.routes[placement.route];
+  if (Refutes(placement, usual))
+    work = RouteWork();
+  ++work.samples;
+  work.mean += Scaled(usual - work.mean, SampleWeight(work, now));
+  work.learned_at = now;
+  work.trials = 0;
+}
+
+Duration TrialInterval(const RouteWork& work, bool idempotent) {
+  const int doublings = std::min(work.trials, kMaxTrialDoublings);
+  return kFirstTrialInterval * (1 << doublings) *
+         (idempotent ? 1 : kUnrepeatableTrialFactor);
 }
 
 }  // namespace
@@ -44,22 +77,44 @@
                       const std::string& route,
                       Duration target) {
   const auto known = model.routes.find(route);
-  if (known != model.routes.end())
+  if (known != model.routes.end() && known->second.samples > 0)
     return known->second.mean;
   return target > Duration::zero() ? target / kTargetPerUsualWork
                                    : kDefaultWork;
 }
 
+Duration ShortestWork(const WorkModel& model,
+                      const std::string& route,
+                      Duration target) {
+  return Scaled(ExpectedWork(model, route, target), kFastestWorkFraction);
+}
+
+// The first estimate of a route is derived from its target, so nothing has been
+// seen yet that a trial would have to wait for.
+bool TakeTrial(WorkModel& model,
+               const DoubtfulRequest& request,
+               TimePoint now) {
+  RouteWork& work = model.routes[request.route];
+  const std::optional<TimePoint> seen =
+      std::max(work.learned_at, work.tried_at);
+  if (seen && now - *seen < TrialInterval(work, request.idempotent))
+    return false;
+  ++work.trials;
+  work.tried_at = now;
+  return true;
+}
+
 void RecordLatency(WorkModel& model,
                    const PlacementRecord& placement,
-                   Duration latency) {
+                   Duration latency,
+                   TimePoint now) {
   if (!placement.known || placement.slowness <= 0)
     return;
   const Duration usual = Scaled(latency, 1 / placement.slowness);
-  if (!placement.near_full)
-    return RecordUsualWork(model, placement.route, usual);
+  if (!placement.near_full || Refutes(placement, usual))
+    return RecordUsualWork(model, placement, usual, now);
   const auto route = model.routes.find(placement.route);
-  if (route == model.routes.end())
+  if (route == model.routes.end() || route->second.samples == 0)
     return;
   const Duration mean = std::max(Duration(1), route->second.mean);
   const double factor = std::clamp(
@@ -69,6 +124,11 @@
       kNearFullFactorWeight * (factor - model.near_full_factor);
 }
 
+void KeepRoutes(WorkModel& model, const std::set<std::string>& routes) {
+  for (auto it = model.routes.begin(); it != model.routes.end();)
+    it = routes.count(it->first) > 0 ? std::next(it) : model.routes.erase(it);
+}
+
 bool IsNearFull(int others, int slots) {
   return others + 1 > kNearFullFraction * slots;
 }
--- a/src/process/servers/work_model.h
+++ b/src/process/servers/work_model.h
@@ -1,6 +1,8 @@
 #ifndef PROCESS_SERVERS_WORK_MODEL_H_
 #define PROCESS_SERVERS_WORK_MODEL_H_
 
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -20,13 +22,21 @@
   bool near_full = false;
   /** Age of the load report. */
   Duration age{};
+  /** For a trial request: the expected time of work that it doubts. */
+  std::optional<Duration> doubted = std::nullopt;
 };
 
 /** Time that requests of one route usually take. */
 struct RouteWork {
   /** On a server of usual speed that is not nearly full. */
   Duration mean{};
+  /** Responses that `mean` was learned from. */
   int samples = 0;
+  /** When the latest of them arrived. */
+  std::optional<TimePoint> learned_at;
+  /** Trial requests since then. */
+  int trials = 0;
+  std::optional<TimePoint> tried_at;
 };
 
 /** Times that the requests of a service usually take. */
@@ -36,6 +46,15 @@
   double near_full_factor = 1;
 };
 
+/** A request whose deadline seems too short for its work. */
+struct DoubtfulRequest {
+  std::string route;
+  /** Target latency of the route, which is zero if unset. */
+  Duration target{};
+  /** True if the request may run more than once. */
+  bool idempotent = true;
+};
+
 /**
  * Usual time of a request of the route. Before the first response it is derived
  * from `target`, the target latency of the route, which is zero if unset.
@@ -44,10 +63,25 @@
                       const std::string& route,
                       Duration target);
 
+/** Time below which hardly any request of the route ends. */
+Duration ShortestWork(const WorkModel& model,
+                      const std::string& route,
+                      Duration target);
+
+/**
+ * True if the request should be sent although its deadline is too short by the
+ * model, to find out whether the model still holds. Counts it as a trial.
+ */
+bool TakeTrial(WorkModel& model, const DoubtfulRequest& request, TimePoint now);
+
 /** Adds the latency of an answered request to the model. */
 void RecordLatency(WorkModel& model,
                    const PlacementRecord& placement,
-                   Duration latency);
+                   Duration latency,
+                   TimePoint now);
+
+/** Forgets all routes but these. */
+void KeepRoutes(WorkModel& model, const std::set<std::string>& routes);
 
 /** True if one more request besides `others` makes a server nearly full. */
 bool IsNearFull(int others, int slots);
--- a/src/request/io/attempt_race.cc
+++ b/src/request/io/attempt_race.cc
@@ -81,12 +81,11 @@
           request_.deadline,
           tried_servers_,
           request_.target_at,
-          authorisation.route
-              ? authorisation.route->host + authorisation.route->path_prefix
-              : std::string(),
+          authorisation.route ? NameOf(*authorisation.route) : std::string(),
           authorisation.route ? Duration(authorisation.route->target_latency)
                               : Duration::zero(),
-          request_.priority};
+          request_.priority,
+          request_.traits.idempotent};
 }
 
 AttemptRace::Choice AttemptRace::ChooseServer(YieldContext yield) {
--- a/src/request/request_trace.cc
+++ b/src/request/request_trace.cc
@@ -30,6 +30,11 @@
                 attempt.placement.near_full ? ", nearly full," : "",
                 Milliseconds(attempt.placement.age));
   out += text.data();
+  if (attempt.placement.doubted) {
+    std::snprintf(text.data(), text.size(), ", trial of %.1f ms expected",
+                  Milliseconds(*attempt.placement.doubted));
+    out += text.data();
+  }
 }
 
 }  // namespace
--- a/src/version/document.h
+++ b/src/version/document.h
@@ -121,6 +121,11 @@
   int priority = 0;
 };
 
+/** The route's host and path prefix, which no other route has. */
+inline std::string NameOf(const Route& route) {
+  return route.host + route.path_prefix;
+}
+
 struct ClientAccount {
   ClientAccountId id;
   /** Requests a second over the whole fleet. */
--- a/src/version/document_check.cc
+++ b/src/version/document_check.cc
@@ -181,8 +181,8 @@
     const FieldContext prefix = ContextAt(checker, path + "/path_prefix");
     CheckPathPrefix(prefix, route.path_prefix);
     CheckHost(ContextAt(checker, path + "/host"), route.host);
-    CheckUnique(prefix, route.host + route.path_prefix,
-                Quoted(route.host + route.path_prefix), checker.route_prefixes);
+    CheckUnique(prefix, NameOf(route), Quoted(NameOf(route)),
+                checker.route_prefixes);
     CheckRouteServices(checker, path, route);
     CheckRange(ContextAt(checker, path + "/timeout_ms"), route.timeout,
                kTimeoutRangeMs);
--- a/src/version/document_diff.cc
+++ b/src/version/document_diff.cc
@@ -101,7 +101,7 @@
 }
 
 std::string Subject(const Route& route) {
-  return "route " + route.host + route.path_prefix;
+  return "route " + NameOf(route);
 }
 
 std::string DescribeSplit(const Route& route) {
@@ -233,9 +233,7 @@
 void DescribeRoutes(Lines& lines,
                     const Document& before,
                     const Document& after) {
-  const auto prefix_of = [](const Route& route) {
-    return route.host + route.path_prefix;
-  };
+  const auto prefix_of = [](const Route& route) { return NameOf(route); };
   CompareEntries(
       IndexByName(before.routes, prefix_of),
       IndexByName(after.routes, prefix_of),
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -1,9 +1,7 @@
-#include <gtest/gtest.h>
-
 #include <map>
 #include <set>
 
-#include "process/servers/server_pool.h"
+#include "routing/discovered_servers_fixture.h"
 
 namespace mangodoor {
 namespace {
@@ -11,115 +9,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const ServiceId work_service("work");
-const DataCentreId here("here");
-const DataCentreId there("there");
-constexpr TimePoint kStart{std::chrono::hours(1)};
-
-ServerRecord Record(int number, const DataCentreId& data_centre) {
-  ServerRecord record;
-  record.id = BackendServerId("i" + std::to_string(number));
-  record.service = work_service;
-  record.data_centre = data_centre;
-  record.endpoint = {"10.0.0." + std::to_string(number), 80};
-  record.slots = 3;
-  record.incarnation = 1;
-  return record;
-}
-
-class DiscoveredServersTest : public testing::Test {
- protected:
-  DiscoveredServersTest() { ApplyDocument(); }
-
-  void ApplyDocument() {
-    Service service;
-    service.id = work_service;
-    service.discovered = true;
-    service.cold_rate_per_s = 12;
-    service.connection_limit = 220;
-    Document document;
-    document.version = 1;
-    document.services = {service};
-    ApplyVersion(pool_, *MakeVersion(document, "", ""), {}, here, now_);
-    pool_.shares.instances = {{here, 3}, {there, 4}};
-    pool_.shares.cold.own_data_centre = 1.0 / 3;
-    pool_.shares.cold.until = TimePoint::max();
-    pool_.shares.cold.elsewhere = 1.0 / 6;
-    pool_.probes_per_s = 1000;
-  }
-
-  void Apply(const std::vector<ServerRecord>& records,
-             const std::vector<BackendServerId>& removed = {}) {
-    ApplyRecords(pool_, records, removed, now_);
-  }
-
-  /** Returns the server chosen for a request, or an empty id. */
-  BackendServerId Choose(ServerRequirements requirements = {}) {
-    requirements.service = work_service;
-    if (requirements.deadline == TimePoint())
-      requirements.deadline = now_ + seconds(1);
-    std::optional<ChosenServer> chosen;
-    const auto done =
-        [&chosen](std::variant<ChosenServer, ErrorKind> decision) {
-          if (const auto* server = std::get_if<ChosenServer>(&decision))
-            chosen = *server;
-        };
-    const ServerReply reply =
-        AcquireServer(pool_, requirements, now_, ++random_, done);
-    if (reply.state == ServerReply::State::kChosen)
-      return reply.chosen.server;
-    if (reply.state == ServerReply::State::kRefused)
-      return BackendServerId();
-    Run(reply.actions);
-    if (!chosen) {
-      CancelWait(pool_, work_service, reply.ticket);
-      return BackendServerId();
-    }
-    connection_limit_ = chosen->connection_limit;
-    return chosen->server;
-  }
-
-  /** Runs the callbacks and answers the probes. */
-  void Run(const ServerActions& actions) {
-    for (const auto& callback : actions.callbacks)
-      callback();
-    for (const ChosenServer& probed : actions.probes) {
-      ++probes_;
-      ProbeResult result;
-      const auto server_load = reported_loads_.find(probed.server);
-      result.answered = unresponsive_.count(probed.server) == 0;
-      result.healthy = result.answered;
-      if (reports_load_) {
-        result.server_load =
-            server_load == reported_loads_.end()
-                ? ServerLoad{FindServer(pool_, probed.server)->outstanding, 0,
-                             3, 1}
-                : server_load->second;
-      }
-      Run(HandleProbeResult(pool_, probed.server, result, now_));
-    }
-  }
-
-  void Answer(const BackendServerId& server,
-              std::optional<ServerLoad> server_load = std::nullopt) {
-    AttemptResult result;
-    result.end = AttemptResult::End::kAnswered;
-    result.latency = milliseconds(20);
-    result.server_load = server_load;
-    ReleaseServer(pool_, server, result, now_);
-  }
-
-  ServerPool pool_;
-  TimePoint now_ = kStart;
-  uint64_t random_ = 0;
-  int probes_ = 0;
-  int connection_limit_ = 0;
-  bool reports_load_ = true;
-  /** Reported loads; servers without one report this instance's requests. */
-  std::map<BackendServerId, ServerLoad> reported_loads_;
-  std::set<BackendServerId> unresponsive_;
-};
-
 // Guards against work for a server that is draining, was removed, or is in a
 // data centre that an operator took out; and against a server that gets no work
 // after its data centre is back.
@@ -197,7 +86,7 @@
 TEST_F(DiscoveredServersTest, SlowedServerIsTheLastResort) {
   Apply({Record(1, here)});
   RecordLatency(FindService(pool_, work_service)->work_model,
-                {true, "", 1, false, {}}, milliseconds(20));
+                {true, "", 1, false, {}}, milliseconds(20), now_);
   // Work usually takes 20 ms, on this server 100 ms.
   reported_loads_[BackendServerId("i1")] = {0, 0, 3, 5};
   now_ += seconds(1);
@@ -223,7 +112,7 @@
   ServiceEntry* service = FindService(pool_, work_service);
   for (int i = 0; i < 40; ++i)
     RecordLatency(service->work_model, {true, "short", 1, false, {}},
-                  milliseconds(2));
+                  milliseconds(2), now_);
   reported_loads_[BackendServerId("i1")] = {0, 0, 3, 5};
   now_ += seconds(1);
   ServerRequirements requirements;
@@ -293,9 +182,9 @@
   EXPECT_EQ(BestConcurrency(service->work_model, 3), 3);
   for (int i = 0; i < 40; ++i) {
     RecordLatency(service->work_model, {true, "", 1, false, {}},
-                  milliseconds(60));
+                  milliseconds(60), now_);
     RecordLatency(service->work_model, {true, "", 1, true, {}},
-                  milliseconds(102));
+                  milliseconds(102), now_);
   }
   EXPECT_EQ(BestConcurrency(service->work_model, 3), 2);
   EXPECT_FALSE(Choose().empty());
