Use the last slot of servers again some time after it was slow

Callers: at servers that once slowed down when nearly full, requests waited although a slot was free, for as long as the process ran.

The slow-down of nearly full servers is learned only from requests that use the last slot, and above a factor of 1.5 none did any more, whatever servers the service had since.

Evidence: WorkEstimateTest.LastSlotIsTriedAgain, 2 of 3 slots used minutes after the servers became faster, failed before.

Fix: what was learned of the factor fades with its age (time constant 60 s), so that the last slot is used once in a while, and the factor learned anew.

Result: the test passes, with LastSlotIsLeftFreeWhereItCostsMore.

--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -81,10 +81,13 @@
 }
 
 /** Expected time of a request that is sent now, relative to usual. */
-double SlowdownOf(const ServiceEntry& service, const ServerEntry& server) {
+double SlowdownOf(const ServiceEntry& service,
+                  const ServerEntry& server,
+                  TimePoint now) {
   const bool near_full = IsNearFull(RequestsAt(server), server.slots);
   return server.load_estimate.slowness *
-         (near_full ? std::max(1.0, service.work_model.near_full_factor) : 1);
+         (near_full ? std::max(1.0, NearFullFactor(service.work_model, now))
+                    : 1);
 }
 
 /** True if the request may be sent to the server, regardless of its load. */
@@ -101,8 +104,11 @@
   return DiscoveredAllowance(pool, service, server, now) > 0;
 }
 
-bool HasCapacity(const ServiceEntry& service, const ServerEntry& server) {
-  return RequestsAt(server) < BestConcurrency(service.work_model, server.slots);
+bool HasCapacity(const ServiceEntry& service,
+                 const ServerEntry& server,
+                 TimePoint now) {
+  return RequestsAt(server) <
+         BestConcurrency(service.work_model, server.slots, now);
 }
 
 /** How urgent a waiting request is. */
@@ -153,10 +159,10 @@
   double best_slowdown = 0;
   for (ServerEntry* server : service.servers) {
     if (!IsFresh(*server, now) || NeedsColdProbe(service, *server, now) ||
-        !HasCapacity(service, *server) ||
+        !HasCapacity(service, *server, now) ||
         !MayReceive(pool, service, *server, waiter.requirements, now))
       continue;
-    const double slowdown = SlowdownOf(service, *server);
+    const double slowdown = SlowdownOf(service, *server, now);
     if (!IsGoodEnough(service, waiter.requirements, slowdown, now))
       continue;
     const bool is_closer =
@@ -192,7 +198,7 @@
   return SlownessNow(server.load_estimate, now) +
          load / std::max(1, server.slots) +
          (IsNearFull(RequestsAt(server), server.slots)
-              ? service.work_model.near_full_factor
+              ? NearFullFactor(service.work_model, now)
               : 0);
 }
 
@@ -208,7 +214,7 @@
     ServerEntry* server = service.servers[(waiter.random + i) % count];
     if (server->own_data_centre == remote || !MayProbe(service, *server, now) ||
         server->outstanding >=
-            BestConcurrency(service.work_model, server->slots) ||
+            BestConcurrency(service.work_model, server->slots, now) ||
         !MayReceive(pool, service, *server, waiter.requirements, now))
       continue;
     const double score = ProbeScore(service, *server, now);
--- a/src/process/servers/work_model.cc
+++ b/src/process/servers/work_model.cc
@@ -14,6 +14,10 @@
 constexpr double kNearFullFactorWeight = 0.1;
 constexpr double kMaxNearFullFactor = 4;
 
+// Servers that slow down when they are nearly full get no request that would
+// show whether they still do, so what was learned of it fades.
+constexpr Duration kNearFullTimeConstant = std::chrono::seconds(60);
+
 // Target latencies leave room for slow responses: they are assumed to be this
 // multiple of the usual time.
 constexpr int kTargetPerUsualWork = 3;
@@ -120,8 +124,9 @@
   const double factor = std::clamp(
       static_cast<double>(usual.count()) / static_cast<double>(mean.count()),
       0.5, kMaxNearFullFactor);
-  model.near_full_factor +=
-      kNearFullFactorWeight * (factor - model.near_full_factor);
+  const double known = NearFullFactor(model, now);
+  model.near_full_factor = known + kNearFullFactorWeight * (factor - known);
+  model.near_full_at = now;
 }
 
 void KeepRoutes(WorkModel& model, const std::set<std::string>& routes) {
@@ -133,10 +138,16 @@
   return others + 1 > kNearFullFraction * slots;
 }
 
-int BestConcurrency(const WorkModel& model, int slots) {
+double NearFullFactor(const WorkModel& model, TimePoint now) {
+  const double age = Seconds(now - model.near_full_at);
+  return 1 + (model.near_full_factor - 1) *
+                 std::exp(-age / Seconds(kNearFullTimeConstant));
+}
+
+int BestConcurrency(const WorkModel& model, int slots, TimePoint now) {
   const int below_near_full =
       std::max(1, static_cast<int>(kNearFullFraction * slots));
-  return slots / std::max(1.0, model.near_full_factor) > below_near_full
+  return slots / std::max(1.0, NearFullFactor(model, now)) > below_near_full
              ? slots
              : below_near_full;
 }
--- a/src/process/servers/work_model.h
+++ b/src/process/servers/work_model.h
@@ -42,8 +42,12 @@
 /** Times that the requests of a service usually take. */
 struct WorkModel {
   std::unordered_map<std::string, RouteWork> routes;
-  /** Time of a request that makes a server nearly full, relative to usual. */
+  /**
+   * Time of a request that makes a server nearly full, relative to usual, as
+   * learned up to `near_full_at`.
+   */
   double near_full_factor = 1;
+  TimePoint near_full_at{};
 };
 
 /** A request whose deadline seems too short for its work. */
@@ -86,11 +90,17 @@
 /** True if one more request besides `others` makes a server nearly full. */
 bool IsNearFull(int others, int slots);
 
+/**
+ * Expected time of a request that makes a server nearly full, relative to
+ * usual; decays towards 1 with the age of what was learned.
+ */
+double NearFullFactor(const WorkModel& model, TimePoint now);
+
 /**
  * Number of concurrent requests with the highest throughput. Some servers slow
  * down so much when nearly full that using the last slots lowers it.
  */
-int BestConcurrency(const WorkModel& model, int slots);
+int BestConcurrency(const WorkModel& model, int slots, TimePoint now);
 
 }  // namespace mangodoor
 
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -179,14 +179,14 @@
 TEST_F(DiscoveredServersTest, LastSlotIsLeftFreeWhereItCostsMore) {
   Apply({Record(1, here)});
   ServiceEntry* service = FindService(pool_, work_service);
-  EXPECT_EQ(BestConcurrency(service->work_model, 3), 3);
+  EXPECT_EQ(BestConcurrency(service->work_model, 3, now_), 3);
   for (int i = 0; i < 40; ++i) {
     RecordLatency(service->work_model, {true, "", 1, false, {}},
                   milliseconds(60), now_);
     RecordLatency(service->work_model, {true, "", 1, true, {}},
                   milliseconds(102), now_);
   }
-  EXPECT_EQ(BestConcurrency(service->work_model, 3), 2);
+  EXPECT_EQ(BestConcurrency(service->work_model, 3, now_), 2);
   EXPECT_FALSE(Choose().empty());
   EXPECT_FALSE(Choose().empty());
   EXPECT_TRUE(Choose().empty());
--- a/tests/routing/work_estimate_test.cc
+++ b/tests/routing/work_estimate_test.cc
@@ -194,6 +194,36 @@
   EXPECT_EQ(routes.size(), 2U);
 }
 
+// Guards against a last slot that is never used again, since only requests that
+// use it show that servers no longer slow down when they are nearly full.
+TEST_F(WorkEstimateTest, LastSlotIsTriedAgain) {
+  Apply({}, {BackendServerId("i2")});
+  const auto record = [this](bool near_full, Duration latency) {
+    AttemptResult result;
+    result.end = AttemptResult::End::kAnswered;
+    result.latency = latency;
+    result.placement = {true, "route", 1, near_full, {}};
+    ReleaseServer(pool_, BackendServerId("i1"), result, now_);
+  };
+  const auto free_slots = [this] {
+    int slots = 0;
+    while (!Choose().empty())
+      ++slots;
+    return slots;
+  };
+  for (int i = 0; i < 40; ++i) {
+    record(false, milliseconds(60));
+    record(true, milliseconds(102));
+  }
+  EXPECT_EQ(free_slots(), 2);
+  // The servers are replaced by ones that do not slow down.
+  for (int i = 0; i < 180; ++i) {
+    now_ += seconds(1);
+    record(false, milliseconds(60));
+  }
+  EXPECT_EQ(free_slots(), 3);
+}
+
 // Guards against a route that is never served since its time-out is short
 // compared to its target, from which the first estimate is derived.
 TEST_F(WorkEstimateTest, FirstEstimateIsTried) {
