Try unreachable servers soon if no other server is usable

Callers: after a partition between an instance and all servers of a service, requests were refused with no_server for up to 30 s after it had healed.

Each failed connection doubles the back-off of a server, up to 30 s, and during it nothing is sent that would show that the server is back. A back-off spares requests a failed attempt while others can take them; with none usable it only delays the return.

Evidence: WorkEstimateTest.ServersThatAreAllUnreachableAreTriedSoon failed before: 26 s from the end of a partition of 35 s to the first attempt.

Fix: when a connection fails and no server of the service is usable, all back-offs end within a second. Each server then gets one attempt a second.

Result: the test passes: at most one attempt a second at each server, and the first one within a second of the end.

--- a/src/process/servers/server_feedback.cc
+++ b/src/process/servers/server_feedback.cc
@@ -16,6 +16,8 @@
 // this instance's own network.
 constexpr Duration kBrokenConnectionWindow = std::chrono::seconds(1);
 constexpr double kAverageOthersWeight = 0.05;
+// Back-off after a failed connection while no server of the service is usable.
+constexpr Duration kLastResortBackOff = std::chrono::seconds(1);
 
 ServerReport MakeReport(const ServerEntry& server, ServerState state) {
   ServerReport report;
@@ -90,10 +92,26 @@
                                       : ServerState::kCold);
 }
 
+// A back-off spares requests a failed attempt while other servers can take
+// them. If none can, it only delays the return of the service.
+void ShortenBackOffsIfNoneIsUsable(ServiceEntry& service, TimePoint now) {
+  for (const ServerEntry* server : service.servers) {
+    if (IsUsable(*server, now))
+      return;
+  }
+  for (ServerEntry* server : service.servers) {
+    server->down_until = std::min(server->down_until, now + kLastResortBackOff);
+    if (server->ejection.reason == EjectionReason::kConnectFailed)
+      server->ejection.until =
+          std::min(server->ejection.until, server->down_until);
+  }
+}
+
 void RecordConnectFailure(Feedback& feedback) {
   ServerEntry& server = feedback.server;
   Eject(server.ejection, EjectionReason::kConnectFailed, feedback.now);
   server.down_until = std::max(server.down_until, server.ejection.until);
+  ShortenBackOffsIfNoneIsUsable(feedback.service, feedback.now);
   RecordBrokenConnection(feedback, HealthReason::kConnectFailed);
 }
 
--- a/tests/routing/work_estimate_test.cc
+++ b/tests/routing/work_estimate_test.cc
@@ -224,6 +224,32 @@
   EXPECT_EQ(free_slots(), 3);
 }
 
+// Guards against a service that stays without servers long after a partition
+// has healed, since the back-off of each has grown.
+TEST_F(WorkEstimateTest, ServersThatAreAllUnreachableAreTriedSoon) {
+  const auto try_once = [this](AttemptResult::End end) {
+    const auto chosen = ChooseServer({});
+    if (!chosen)
+      return false;
+    AttemptResult result;
+    result.end = end;
+    result.placement = chosen->placement;
+    ReleaseServer(pool_, chosen->server, result, now_);
+    return true;
+  };
+  int attempts = 0;
+  for (int i = 0; i < 1750; ++i) {
+    now_ += milliseconds(20);
+    attempts += try_once(AttemptResult::End::kConnectFailed) ? 1 : 0;
+  }
+  // One attempt a second at each of the two servers.
+  EXPECT_LE(attempts, 2 * 36);
+  const TimePoint healed_at = now_;
+  while (!try_once(AttemptResult::End::kAnswered))
+    now_ += milliseconds(20);
+  EXPECT_LE(now_ - healed_at, seconds(1));
+}
+
 // Guards against a route that is never served since its time-out is short
 // compared to its target, from which the first estimate is derived.
 TEST_F(WorkEstimateTest, FirstEstimateIsTried) {
