--- a/src/process/io/feed_log.cc
+++ b/src/process/io/feed_log.cc
@@ -34,8 +34,8 @@
   Log(LogLevel::kInfo, "feed_sent",
       {{"to", to},
        {"receivers", receivers},
-       {"after", changes.after},
-       {"up_to", changes.up_to},
+       {"after", changes.after.number},
+       {"up_to", changes.up_to.number},
        {"items", changes.items.size()},
        {"bytes", BytesOf(changes.items)}});
 }
@@ -46,7 +46,7 @@
   if (answer.items.empty())
     return;
   Log(LogLevel::kInfo, "store_read",
-      {{"revision", answer.revision},
+      {{"revision", answer.revision.number},
        {"items", answer.items.size()},
        {"bytes", BytesOf(answer.items)},
        {"took_ms", Milliseconds(took)}});
@@ -54,9 +54,18 @@
 
 void LogReload(const ReloadSummary& reload) {
   Log(LogLevel::kInfo, "store_reloaded",
-      {{"revision", reload.revision},
+      {{"revision", reload.revision.number},
        {"pages", reload.pages},
-       {"newest_page", reload.newest_page}});
+       {"newest_page", reload.newest_page.number}});
+}
+
+void LogRestoration(const RestorationSummary& restored) {
+  Log(LogLevel::kWarning, "store_restored",
+      {{"era_before", restored.before.era},
+       {"revision_before", restored.before.number},
+       {"era", restored.after.era},
+       {"revision", restored.after.number},
+       {"carried", restored.carried}});
 }
 
 void LogUpdateReceived(const InstanceId& from,
@@ -67,8 +76,8 @@
     return;
   Log(LogLevel::kInfo, "feed_received",
       {{"from", from.value()},
-       {"after", changes.after},
-       {"up_to", changes.up_to},
+       {"after", changes.after.number},
+       {"up_to", changes.up_to.number},
        {"items", changes.items.size()},
        {"new_items", actions.changed_items.size()},
        {"bytes", BytesOf(changes.items)},
@@ -80,7 +89,7 @@
   if (const auto* request = std::get_if<FeedRequest>(&outgoing.message)) {
     Log(LogLevel::kInfo, "feed_requested",
         {{"from", outgoing.to.value()},
-         {"after", request->after},
+         {"after", request->after.number},
          {"behind_ms", BehindMs(behind_for)}});
   } else if (const auto* update = std::get_if<FeedUpdate>(&outgoing.message)) {
     LogSent(outgoing.to.value(), 1, update->changes);
--- a/src/process/io/feed_log.h
+++ b/src/process/io/feed_log.h
@@ -15,6 +15,9 @@
 /** Logs the end of a full read of the store. */
 void LogReload(const ReloadSummary& reload);
 
+/** Logs that the store was found to be restored from an older copy. */
+void LogRestoration(const RestorationSummary& restored);
+
 /** Logs changes from a peer, if there are any. */
 void LogUpdateReceived(const InstanceId& from,
                        const FeedUpdate& update,
--- a/src/process/io/platform_interface.h
+++ b/src/process/io/platform_interface.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "process/io/page_server.h"
+#include "process/registry/carried_items.h"
 #include "process/registry/decoded_item.h"
 #include "process/registry/platform_store.h"
 #include "request/http_profile.h"
@@ -36,6 +37,7 @@
                                                const Endpoint&)>
       open_store;
   ItemDecoder decode;
+  LapsesAlone lapses_alone = nullptr;
   HttpProfile http_profile;
   /** Answers an address query, with the addresses from the passed function. */
   std::function<Page(const PageRequest&,
--- a/src/process/io/registry_applier.cc
+++ b/src/process/io/registry_applier.cc
@@ -33,13 +33,17 @@
 
 namespace {
 
-/** Returns the latest item of each key, sorted by revision. */
+/**
+ * Returns the latest item of each key, sorted by revision. Of two with the same
+ * revision, the later one in the list counts: after a restoration of the store,
+ * an item that was carried gives way to the store's.
+ */
 std::vector<const StoreItem*> LatestItemPerKey(
     const std::vector<StoreItem>& items) {
   std::map<std::string, const StoreItem*> latest;
   for (const StoreItem& item : items) {
     const StoreItem*& known = latest[item.key];
-    if (!known || known->revision < item.revision)
+    if (!known || known->revision <= item.revision)
       known = &item;
   }
   std::vector<const StoreItem*> ordered;
@@ -56,7 +60,7 @@
 }  // namespace
 
 bool RegistryApplier::UpdateRevision(const StoreItem& item) {
-  uint64_t& revision = revisions_[item.key];
+  StoreRevision& revision = revisions_[item.key];
   if (item.revision < revision)
     return false;
   revision = item.revision;
@@ -133,7 +137,7 @@
       AdoptVersionIfNewer(tables_.versions, version, clock_.WallNow());
   Log(LogLevel::kInfo, "document_considered",
       {{"version", version->document.version},
-       {"revision", item.revision},
+       {"revision", item.revision.number},
        {"bytes", item.value.size()},
        {"waited_ms", Milliseconds(waited_)},
        {"decode_ms", Milliseconds(decode_time)},
@@ -154,7 +158,7 @@
                                    const StoreItem& item) {
   Log(LogLevel::kInfo, command.out ? "data_centre_out" : "data_centre_in",
       {{"data_centre", command.data_centre.value()},
-       {"revision", item.revision}});
+       {"revision", item.revision.number}});
   actions_.Run(SetDataCentreOut(tables_.servers, command.data_centre,
                                 command.out, clock_.Now()));
 }
@@ -184,7 +188,7 @@
     return;
   Log(LogLevel::kWarning, "entry_refused",
       {{"key", item.key},
-       {"revision", item.revision},
+       {"revision", item.revision.number},
        {"reason", reason},
        {"lines_not_logged", admission.dropped}});
 }
--- a/src/process/io/registry_applier.h
+++ b/src/process/io/registry_applier.h
@@ -84,7 +84,7 @@
   /** How long the items that are being applied were kept, for logs. */
   Duration waited_{};
   /** Revision of the latest applied change of each key. */
-  std::map<std::string, uint64_t> revisions_;
+  std::map<std::string, StoreRevision> revisions_;
   /** Why the item of a key cannot be used; only keys of such items. */
   std::map<std::string, std::string> refusals_;
 };
--- a/src/process/io/store_feed.cc
+++ b/src/process/io/store_feed.cc
@@ -29,7 +29,10 @@
                context.clock,
                context.actions,
                context.self,
-               platform.decode) {}
+               platform.decode) {
+  OrderedLock lock(context.feed.mutex);
+  context.feed.lapses_alone = platform.lapses_alone;
+}
 
 void StoreFeed::Tick(TimePoint now) {
   Run(TickFeed(context_.feed, CurrentTopology(), now));
@@ -44,7 +47,7 @@
 
 void StoreFeed::HandleRequest(const InstanceId& from,
                               const FeedRequest& request) {
-  Run(HandleFeedRequest(context_.feed, from, request));
+  Run(HandleFeedRequest(context_.feed, from, request, context_.clock.Now()));
 }
 
 void StoreFeed::HandleUpdate(const InstanceId& from,
@@ -68,6 +71,8 @@
 void StoreFeed::Run(FeedActions actions) {
   if (actions.reloaded)
     LogReload(*actions.reloaded);
+  if (actions.restored)
+    LogRestoration(*actions.restored);
   for (const OutgoingMessage& outgoing : actions.messages) {
     LogFeedMessage(outgoing, actions.behind_for);
     context_.peers.Send(outgoing.to, outgoing.message);
@@ -104,7 +109,8 @@
   LogStoreRead(answer, now - started);
   if (answer.kind != StoreAnswer::Kind::kItems) {
     Log(LogLevel::kWarning, "store_read_failed",
-        {{"reason", answer.reason}, {"revision", FeedRevision(context_.feed)}});
+        {{"reason", answer.reason},
+         {"revision", FeedRevision(context_.feed).number}});
   } else if (!answer.reason.empty()) {
     applier_.ReportUnreadable(answer.reason);
   }
--- a/src/process/peers/io/peer_codec.cc
+++ b/src/process/peers/io/peer_codec.cc
@@ -9,8 +9,8 @@
 
 #include "connection/io/peer_handshake.h"
 #include "process/peers/io/cbor_check.h"
+#include "process/peers/io/feed_codec.h"
 #include "process/peers/io/peer_fields.h"
-#include "process/registry/io/patch_codec.h"
 
 namespace mangodoor {
 namespace {
@@ -35,12 +35,6 @@
 constexpr Duration kMaxAge = std::chrono::hours(24 * 366);
 constexpr Duration kMaxLeaseDuration = std::chrono::seconds(10);
 constexpr int64_t kMaxMillicores = 1000000;
-constexpr size_t kMaxFeedItems = 65536;
-constexpr size_t kMaxFeedPatches = 64;
-// Position of the optional patches in the array of an item.
-constexpr size_t kPatchesIndex = 4;
-// Limit on all values of an update once they are decompressed.
-constexpr size_t kMaxUnpackedBytes = 8 * 1024 * 1024;
 constexpr int64_t kMaxLentTokens = 1000;
 
 // Request rates are sent in tenths of a request per second.
@@ -51,19 +45,8 @@
                                                      "leaving"};
 constexpr std::array<const char*, 5> kServerStates{"cold", "warm", "slow",
                                                    "draining", "down"};
-constexpr std::array<const char*, 3> kFeedEncodings{"plain", "packed",
-                                                    "patched"};
 constexpr std::array<const char*, 2> kListedStates{"live", "leaving"};
 
-template <size_t kCount, typename Enum>
-const char* NameOf(const std::array<const char*, kCount>& names, Enum value) {
-  return names.at(static_cast<size_t>(value));
-}
-
-Json ToBytes(const std::string& bytes) {
-  return Json::binary({bytes.begin(), bytes.end()});
-}
-
 int64_t ToAgeMicroseconds(Duration age) {
   return ToMicroseconds(std::clamp(age, Duration::zero(), kMaxAge));
 }
@@ -375,7 +358,11 @@
 }
 
 Json Encode(const FleetHeartbeat& heartbeat) {
-  Json json{{"t", "member_beat"}, {"r", heartbeat.store_revision}};
+  Json json{{"t", "member_beat"}, {"r", heartbeat.store_revision.number}};
+  if (heartbeat.store_revision.era > 0)
+    json["w"] = heartbeat.store_revision.era;
+  if (heartbeat.carries_items)
+    json["k"] = true;
   if (heartbeat.reads_store)
     json["g"] = true;
   if (heartbeat.accepts_patches)
@@ -409,7 +396,8 @@
 
 FleetHeartbeat DecodeFleetHeartbeat(const Json& json) {
   FleetHeartbeat heartbeat;
-  heartbeat.store_revision = RevisionAt(json, "r");
+  heartbeat.store_revision = StoreRevisionAt(json, "r", "w");
+  heartbeat.carries_items = json.contains("k") && FlagAt(json, "k");
   heartbeat.reads_store = json.contains("g") && FlagAt(json, "g");
   heartbeat.accepts_patches = json.contains("d") && FlagAt(json, "d");
   if (json.contains("a"))
@@ -459,113 +447,11 @@
 }
 
 Json Encode(const FeedRequest& request) {
-  return {{"t", "feed_request"},
-          {"after", request.after},
-          {"encoding", NameOf(kFeedEncodings, request.encoding)}};
-}
-
-FeedRequest DecodeFeedRequest(const Json& json) {
-  FeedRequest request;
-  request.after = RevisionAt(json, "after");
-  // Absent in messages of earlier versions.
-  if (json.contains("encoding"))
-    request.encoding = static_cast<FeedEncoding>(
-        EnumIndexAt(json, "encoding", kFeedEncodings));
-  return request;
-}
-
-Json EncodePatches(const std::vector<ValuePatch>& patches) {
-  Json entries = Json::array();
-  for (const ValuePatch& patch : patches)
-    entries.push_back({patch.base, patch.revision, ToBytes(patch.bytes)});
-  return entries;
-}
-
-/**
- * The changes of the item's value. A compressed value is a patch without a
- * base.
- */
-Json EncodeFeedItem(const StoreItem& item, bool packed) {
-  std::vector<ValuePatch> patches = item.patches;
-  if (packed && item.value.size() >= kMinPatchedBytes) {
-    if (auto bytes = EncodePatch("", item.value))
-      patches = {{0, item.revision, std::move(*bytes)}};
-  }
-  if (patches.empty())
-    return {item.key, item.revision, item.deleted, ToBytes(item.value)};
-  return {item.key, item.revision, item.deleted, ToBytes(""),
-          EncodePatches(patches)};
+  return EncodeFeedRequest(request);
 }
 
 Json Encode(const FeedUpdate& update) {
-  const StoreChanges& changes = update.changes;
-  Json items = Json::array();
-  for (const StoreItem& item : changes.items)
-    items.push_back(EncodeFeedItem(item, update.packed));
-  Json json{{"t", "feed_update"},     {"after", changes.after},
-            {"up_to", changes.up_to}, {"newest", changes.newest},
-            {"whole", changes.whole}, {"items", std::move(items)}};
-  if (changes.compared) {
-    json["compared_after"] = changes.compared->after;
-    json["compared_up_to"] = changes.compared->up_to;
-  }
-  return json;
-}
-
-std::vector<ValuePatch> DecodePatches(const Json& entries) {
-  if (!entries.is_array() || entries.size() > kMaxFeedPatches)
-    throw PeerMessageError("the patches of a value are invalid");
-  std::vector<ValuePatch> patches;
-  for (const Json& entry : entries) {
-    ValuePatch patch;
-    patch.base = static_cast<uint64_t>(IntegerIn(entry, 0, 0, kMaxRevision));
-    patch.revision =
-        static_cast<uint64_t>(IntegerIn(entry, 1, 0, kMaxRevision));
-    patch.bytes = BytesIn(entry, 2);
-    patches.push_back(std::move(patch));
-  }
-  return patches;
-}
-
-StoreItem DecodeFeedItem(const Json& entry) {
-  StoreItem item;
-  item.key = TextIn(entry, 0);
-  item.revision = static_cast<uint64_t>(IntegerIn(entry, 1, 0, kMaxRevision));
-  item.deleted = FlagIn(entry, 2);
-  item.value = BytesIn(entry, 3);
-  if (entry.size() > kPatchesIndex)
-    item.patches = DecodePatches(entry.at(kPatchesIndex));
-  if (item.patches.empty() || item.patches.front().base > 0)
-    return item;
-  auto value = DecodePatch("", item.patches.front().bytes);
-  if (!value)
-    throw PeerMessageError("a compressed value is invalid");
-  item.value = std::move(*value);
-  item.patches.clear();
-  return item;
-}
-
-FeedUpdate DecodeFeedUpdate(const Json& json) {
-  FeedUpdate update;
-  StoreChanges& changes = update.changes;
-  changes.after = RevisionAt(json, "after");
-  changes.up_to = RevisionAt(json, "up_to");
-  // Absent in messages of earlier versions.
-  changes.newest =
-      json.contains("newest") ? RevisionAt(json, "newest") : changes.up_to;
-  changes.whole = FlagAt(json, "whole");
-  if (json.contains("compared_after")) {
-    changes.compared = RevisionSpan{RevisionAt(json, "compared_after"),
-                                    RevisionAt(json, "compared_up_to")};
-  }
-  size_t unpacked_bytes = 0;
-  for (const Json& entry : ArrayAt(json, "items", kMaxFeedItems)) {
-    changes.items.push_back(DecodeFeedItem(entry));
-    unpacked_bytes += changes.items.back().value.size();
-    if (unpacked_bytes > kMaxUnpackedBytes)
-      throw PeerMessageError("the values of an update are too long");
-  }
-  return update;
+  return EncodeFeedUpdate(update);
 }
 
 Json Encode(const MessagePart& part) {
--- a/src/process/peers/io/peer_fields.cc
+++ b/src/process/peers/io/peer_fields.cc
@@ -111,6 +111,13 @@
       IntegerAt(map, name, 0, static_cast<int64_t>(kMaxRevision)));
 }
 
+StoreRevision StoreRevisionAt(const Json& map,
+                              const char* name,
+                              const char* era_name) {
+  const uint64_t era = map.contains(era_name) ? RevisionAt(map, era_name) : 0;
+  return {era, RevisionAt(map, name)};
+}
+
 MicroTokens MicroTokensAt(const Json& map, const char* name) {
   return IntegerAt(map, name, 0, kMaxMicroTokens);
 }
@@ -203,4 +210,8 @@
   return std::chrono::duration_cast<microseconds>(duration).count();
 }
 
+Json ToBytes(const std::string& bytes) {
+  return Json::binary({bytes.begin(), bytes.end()});
+}
+
 }  // namespace mangodoor
--- a/src/process/peers/io/peer_fields.h
+++ b/src/process/peers/io/peer_fields.h
@@ -31,6 +31,10 @@
                   int64_t max);
 /** An integer from 0 to kMaxRevision. */
 uint64_t RevisionAt(const nlohmann::json& map, const char* name);
+/** A revision of the store; its era is in `era_name`, or 0 without that. */
+StoreRevision StoreRevisionAt(const nlohmann::json& map,
+                              const char* name,
+                              const char* era_name);
 MicroTokens MicroTokensAt(const nlohmann::json& map, const char* name);
 bool FlagAt(const nlohmann::json& map, const char* name);
 
@@ -97,6 +101,14 @@
 
 int64_t ToMicroseconds(Duration duration);
 
+/** The name of an enumerator, by which EnumIndexAt() finds it. */
+template <size_t kCount, typename Enum>
+const char* NameOf(const std::array<const char*, kCount>& names, Enum value) {
+  return names.at(static_cast<size_t>(value));
+}
+
+nlohmann::json ToBytes(const std::string& bytes);
+
 }  // namespace mangodoor
 
 #endif  // PROCESS_PEERS_IO_PEER_FIELDS_H_
--- a/src/process/peers/peer_message.h
+++ b/src/process/peers/peer_message.h
@@ -10,6 +10,7 @@
 #include "process/clock.h"
 #include "process/fleet/member.h"
 #include "process/membership/membership.h"
+#include "process/registry/carried_items.h"
 #include "process/registry/store_replica.h"
 #include "process/servers/server_state.h"
 #include "version/ids.h"
@@ -173,7 +174,9 @@
  */
 struct FleetHeartbeat {
   /** Revision of the platform's store that the sender's copy has reached. */
-  uint64_t store_revision = 0;
+  StoreRevision store_revision;
+  /** True if the sender carries items that the restored store lacks. */
+  bool carries_items = false;
   /** True if the sender reads the store itself; else peers send it changes. */
   bool reads_store = false;
   /** True if the sender can receive patches in a FeedUpdate. */
@@ -221,8 +224,10 @@
 
 /** Asks for the changes of the platform's store after a revision. */
 struct FeedRequest {
-  uint64_t after = 0;
+  StoreRevision after;
   FeedEncoding encoding = FeedEncoding::kPlain;
+  /** True if the carried items are wanted, even if there are no changes. */
+  bool wants_carried = false;
 };
 
 /** Changes of the platform's store. */
@@ -230,6 +235,8 @@
   StoreChanges changes;
   /** Large values are compressed. Not sent: a receiver sees it by the item. */
   bool packed = false;
+  /** What the sender carries, if the receiver may not know it. */
+  std::optional<std::vector<CarriedNotice>> carried = std::nullopt;
 };
 
 using PeerMessage = std::variant<Hello,
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -72,7 +72,7 @@
                       const InstanceId& from,
                       TimePoint now) {
   // Nothing is pushed to an instance that has no copy yet.
-  if (feed.replica.revision == 0)
+  if (feed.replica.revision == StoreRevision())
     return Duration::zero();
   if (topology.local_peers.count(from) > 0)
     return kLocalRequestDelay;
@@ -112,37 +112,139 @@
   return HubsSharePushes(topology) && IsInOwnShare(topology, rank);
 }
 
+/** Adds what this instance carries, if it can know that. */
+void AddCarriedTo(const Feed& feed, TimePoint now, FeedUpdate& update) {
+  if (feed.carried_era == feed.replica.revision.era)
+    update.carried = NoticesOf(feed.carried, now);
+}
+
 /** The update for a peer that has all changes up to `revision`. */
 FeedUpdate MakeUpdate(const Feed& feed,
-                      uint64_t revision,
-                      FeedEncoding encoding) {
+                      const StoreRevision& revision,
+                      FeedEncoding encoding,
+                      TimePoint now) {
   const ValueForm form = encoding == FeedEncoding::kPatched
                              ? ValueForm::kPatched
                              : ValueForm::kWhole;
-  return {ChangesAfter(feed.replica, revision, form),
-          encoding != FeedEncoding::kPlain};
+  FeedUpdate update{ChangesAfter(feed.replica, revision, form),
+                    encoding != FeedEncoding::kPlain};
+  // A peer of the same era has its own, or asks for them.
+  if (revision.era < feed.replica.revision.era)
+    AddCarriedTo(feed, now, update);
+  return update;
+}
+
+/** True if this state is that of a store that was restored since the replica.
+ */
+bool IsRestored(const StoreReplica& replica, const StoreRevision& state) {
+  return replica.revision != StoreRevision() &&
+         state.era > replica.revision.era;
+}
+
+/** The items that are newer than the revision. */
+std::vector<StoreItem> ItemsAfter(const std::vector<StoreItem>& items,
+                                  const StoreRevision& revision) {
+  std::vector<StoreItem> newer;
+  for (const StoreItem& item : items) {
+    if (item.revision > revision)
+      newer.push_back(item);
+  }
+  return newer;
+}
+
+/**
+ * Applies `items` by `apply`, which returns those that are new to the replica
+ * and brings it to `up_to`. If the store was restored before that, what it
+ * lacks stays in force.
+ */
+template <typename Apply>
+std::vector<StoreItem> ApplyAndCarry(Feed& feed,
+                                     const std::vector<StoreItem>& items,
+                                     const StoreRevision& up_to,
+                                     const Apply& apply,
+                                     TimePoint now,
+                                     FeedActions& actions) {
+  if (IsRestored(feed.replica, up_to)) {
+    const StoreReplica before = feed.replica;
+    CarryResult result = CarryOver(
+        feed.carried, {before, feed.replica, apply()}, feed.lapses_alone, now);
+    if (result.complete)
+      feed.carried_era = up_to.era;
+    actions.restored =
+        RestorationSummary{before.revision, up_to, feed.carried.size()};
+    return std::move(result.changed_items);
+  }
+  if (feed.carried.empty())
+    return apply();
+  const std::vector<StoreItem> written =
+      ItemsAfter(items, feed.replica.revision);
+  std::vector<StoreItem> changed_items = apply();
+  DropWritten(feed.carried, written, changed_items);
+  return changed_items;
+}
+
+/** Gives an answer that names no era that of the replica. */
+void CompleteEra(const StoreReplica& replica, StoreAnswer& answer) {
+  if (answer.names_era)
+    return;
+  answer.revision.era = replica.revision.era;
+  for (StoreItem& item : answer.items)
+    item.revision.era = replica.revision.era;
+}
+
+/** The era of the state that the running read continues. */
+uint64_t EraOfRead(const Feed& feed) {
+  const FeedReader& reader = feed.reader;
+  if (reader.phase == FeedReader::Phase::kWatching)
+    return reader.watched_from.era;
+  return reader.reload.pages > 0 ? reader.reload.revision.era
+                                 : feed.replica.revision.era;
+}
+
+/**
+ * What the answer means, given what else is known of the store. A watch that
+ * was begun before the store was restored has missed changes, like one of a
+ * compacted history, and so has a reload. An answer from before the restoration
+ * is late.
+ */
+StoreAnswer::Kind KindOf(const Feed& feed, const StoreAnswer& answer) {
+  if (answer.kind != StoreAnswer::Kind::kItems)
+    return answer.kind;
+  const uint64_t era = answer.revision.era;
+  if (era < feed.replica.revision.era)
+    return StoreAnswer::Kind::kUnavailable;
+  const bool is_first_page =
+      feed.reader.phase == FeedReader::Phase::kReloading &&
+      feed.reader.reload.pages == 0;
+  return is_first_page || era == EraOfRead(feed)
+             ? StoreAnswer::Kind::kItems
+             : StoreAnswer::Kind::kCompacted;
 }
 
 /** Pushes changes to the local peers for which `is_target` is true. */
 void PushUpdates(const Feed& feed,
                  const FeedTopology& topology,
-                 uint64_t revision_before,
+                 const StoreRevision& revision_before,
                  bool (*is_target)(const FeedTopology&, size_t rank),
+                 TimePoint now,
                  FeedActions& actions) {
   // Instances without a copy read the store, and request one from peers. The
   // others do not need the first copy of this one.
-  if (revision_before == 0 || feed.replica.revision == revision_before)
+  if (revision_before == StoreRevision() ||
+      feed.replica.revision == revision_before)
     return;
   // Most peers have the same revision and get the same message.
-  std::map<std::pair<uint64_t, FeedEncoding>, std::vector<InstanceId>> groups;
+  std::map<std::pair<StoreRevision, FeedEncoding>, std::vector<InstanceId>>
+      groups;
   for (const auto& [peer, rank] : topology.local_peers) {
     if (!is_target(topology, rank))
       continue;
     const auto known = feed.peers.find(peer);
     const bool is_known = known != feed.peers.end();
-    const uint64_t peer_revision =
+    const StoreRevision peer_revision =
         is_known ? known->second.revision : revision_before;
-    if (peer_revision == 0 || peer_revision >= feed.replica.revision)
+    if (peer_revision == StoreRevision() ||
+        peer_revision >= feed.replica.revision)
       continue;
     const FeedEncoding encoding = is_known && known->second.accepts_patches
                                       ? FeedEncoding::kPatched
@@ -152,7 +254,7 @@
   }
   for (auto& [group, to] : groups) {
     actions.pushes.push_back(
-        {std::move(to), MakeUpdate(feed, group.first, group.second)});
+        {std::move(to), MakeUpdate(feed, group.first, group.second, now)});
   }
 }
 
@@ -179,6 +281,21 @@
   actions.messages.push_back({from, request});
 }
 
+// An instance that has first read the store after its restoration does not know
+// what was acknowledged before.
+void RequestCarried(Feed& feed,
+                    const InstanceId& from,
+                    const FleetHeartbeat& heartbeat,
+                    TimePoint now,
+                    FeedActions& actions) {
+  const uint64_t era = feed.replica.revision.era;
+  if (!heartbeat.carries_items || heartbeat.store_revision.era != era ||
+      feed.carried_era >= era || AwaitsUpdate(feed, now))
+    return;
+  Request(feed, from, {feed.replica.revision, FeedEncoding::kPatched, true},
+          now, actions);
+}
+
 /** Sets `behind_since` if a peer is ahead of this copy, or clears it. */
 void UpdateBehindSince(Feed& feed, TimePoint now) {
   if (feed.highest_peer_revision <= feed.replica.revision)
@@ -187,6 +304,19 @@
     feed.behind_since = now;
 }
 
+void AddCarriedByPeer(Feed& feed,
+                      const FeedUpdate& update,
+                      TimePoint now,
+                      FeedActions& actions) {
+  if (!update.carried || update.changes.up_to.era != feed.replica.revision.era)
+    return;
+  feed.carried_era = feed.replica.revision.era;
+  for (StoreItem& item :
+       AddCarried(feed.carried, {*update.carried, update.changes.up_to},
+                  feed.replica, now))
+    actions.changed_items.push_back(std::move(item));
+}
+
 }  // namespace
 
 FeedActions TickFeed(Feed& feed, const FeedTopology& topology, TimePoint now) {
@@ -199,6 +329,7 @@
   inputs.revision = feed.replica.revision;
   inputs.behind_since = feed.behind_since;
   actions.behind_for = BehindFor(feed, now);
+  actions.changed_items = TakeExpired(feed.carried, feed.replica, now);
   actions.read = PlanRead(feed.reader, inputs);
   return actions;
 }
@@ -209,8 +340,9 @@
                             TimePoint now) {
   OrderedLock lock(feed.mutex);
   FeedActions actions;
-  const StoreAnswer::Kind kind = answer.kind;
-  const uint64_t before = feed.replica.revision;
+  CompleteEra(feed.replica, answer);
+  const StoreAnswer::Kind kind = KindOf(feed, answer);
+  const StoreRevision before = feed.replica.revision;
   actions.behind_for = BehindFor(feed, now);
   if (kind == StoreAnswer::Kind::kItems) {
     if (feed.reader.phase == FeedReader::Phase::kReloading) {
@@ -219,20 +351,24 @@
         return actions;
       }
       actions.reloaded = SummaryOf(feed.reader.reload);
-      actions.changed_items =
-          ApplyReload(feed.replica, std::exchange(feed.reader.reload, {}));
+      StoreReload reload = std::exchange(feed.reader.reload, {});
+      actions.changed_items = ApplyAndCarry(
+          feed, {}, reload.revision,
+          [&] { return ApplyReload(feed.replica, reload); }, now, actions);
     } else {
       StoreChanges changes;
       changes.after = before;
       changes.up_to = answer.revision;
       changes.items = std::move(answer.items);
-      actions.changed_items = ApplyChanges(feed.replica, changes);
+      actions.changed_items = ApplyAndCarry(
+          feed, changes.items, changes.up_to,
+          [&] { return ApplyChanges(feed.replica, changes); }, now, actions);
       AddConfirmation(feed, {now, 0});
     }
   }
   UpdateBehindSince(feed, now);
   FinishRead(feed.reader, kind, !actions.changed_items.empty(), now);
-  PushUpdates(feed, topology, before, IsPushTarget, actions);
+  PushUpdates(feed, topology, before, IsPushTarget, now, actions);
   return actions;
 }
 
@@ -257,6 +393,7 @@
         heartbeat.store_age)
       AddConfirmation(
           feed, {now - *heartbeat.store_age, heartbeat.store_age_hops + 1});
+    RequestCarried(feed, from, heartbeat, now, actions);
     return actions;
   }
   feed.highest_peer_revision =
@@ -278,13 +415,16 @@
 
 FeedActions HandleFeedRequest(const Feed& feed,
                               const InstanceId& from,
-                              const FeedRequest& request) {
+                              const FeedRequest& request,
+                              TimePoint now) {
   OrderedLock lock(feed.mutex);
   FeedActions actions;
-  if (feed.replica.revision > request.after) {
-    actions.messages.push_back(
-        {from, MakeUpdate(feed, request.after, request.encoding)});
-  }
+  if (feed.replica.revision <= request.after && !request.wants_carried)
+    return actions;
+  FeedUpdate update = MakeUpdate(feed, request.after, request.encoding, now);
+  if (request.wants_carried)
+    AddCarriedTo(feed, now, update);
+  actions.messages.push_back({from, std::move(update)});
   return actions;
 }
 
@@ -296,21 +436,25 @@
   OrderedLock lock(feed.mutex);
   FeedActions actions;
   actions.behind_for = BehindFor(feed, now);
-  const uint64_t before = feed.replica.revision;
+  const StoreRevision before = feed.replica.revision;
   const StoreChanges& changes = update.changes;
   if (CanApply(feed.replica, changes)) {
     feed.requested_at.reset();
     feed.progressed_at.reset();
-    actions.changed_items = ApplyChanges(feed.replica, changes);
+    actions.changed_items = ApplyAndCarry(
+        feed, changes.items, changes.up_to,
+        [&] { return ApplyChanges(feed.replica, changes); }, now, actions);
+    AddCarriedByPeer(feed, update, now, actions);
     UpdateBehindSince(feed, now);
     // Changes from another data centre are new to all local peers.
     const bool is_remote = topology.local_peers.count(from) == 0;
     PushUpdates(feed, topology, before,
-                is_remote ? IsPushTarget : IsForwardTarget, actions);
+                is_remote ? IsPushTarget : IsForwardTarget, now, actions);
   } else if (changes.up_to > feed.replica.revision &&
              (changes.compared || !AwaitsUpdate(feed, now))) {
     // If changes found by comparison do not fit, no other ones would.
-    const uint64_t after = changes.compared ? 0 : feed.replica.revision;
+    const StoreRevision after =
+        changes.compared ? StoreRevision() : feed.replica.revision;
     Request(feed, from, {after, FeedEncoding::kPatched}, now, actions);
   }
   return actions;
@@ -339,6 +483,7 @@
   OrderedLock lock(feed.mutex);
   heartbeat.store_revision = feed.replica.revision;
   heartbeat.reads_store = IsReading(feed.reader);
+  heartbeat.carries_items = !feed.carried.empty();
   heartbeat.accepts_patches = true;
   if (!feed.confirmation)
     return;
@@ -353,7 +498,7 @@
   return feed.confirmation->at;
 }
 
-uint64_t FeedRevision(const Feed& feed) {
+StoreRevision FeedRevision(const Feed& feed) {
   OrderedLock lock(feed.mutex);
   return feed.replica.revision;
 }
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -9,6 +9,7 @@
 #include "process/fleet/member_list.h"
 #include "process/ordered_mutex.h"
 #include "process/peers/peer_message.h"
+#include "process/registry/carried_items.h"
 #include "process/registry/feed_reader.h"
 #include "process/registry/store_replica.h"
 
@@ -16,7 +17,7 @@
 
 /** What a peer's latest heartbeat reported about its copy of the store. */
 struct PeerFeed {
-  uint64_t revision = 0;
+  StoreRevision revision;
   /** The peer reads the store itself. */
   bool reads_store = false;
   /** The peer can receive patches. */
@@ -43,6 +44,12 @@
 struct Feed {
   mutable OrderedMutex mutex{LockRank::kFeed};
   StoreReplica replica;
+  /** What is in force in place of the replica's items. */
+  CarriedItems carried;
+  /** The latest era of which this instance knows what has to be carried. */
+  uint64_t carried_era = 0;
+  /** Set before the first read; null if no item lapses. */
+  LapsesAlone lapses_alone = nullptr;
   FeedReader reader;
   std::map<InstanceId, PeerFeed> peers;
   /** When the latest request to a peer was sent, if it is unanswered. */
@@ -53,7 +60,7 @@
   /** The latest one; unset if the copy was never known to be current. */
   std::optional<StoreConfirmation> confirmation;
   /** The highest revision that a peer has reported. */
-  uint64_t highest_peer_revision = 0;
+  StoreRevision highest_peer_revision;
   /**
    * When this copy fell behind the highest revision that a peer has reported;
    * unset while it is not behind.
@@ -63,6 +70,14 @@
   std::atomic<uint64_t> entries_refused{0};
 };
 
+/** What a restoration of the store meant for this instance, for logs. */
+struct RestorationSummary {
+  StoreRevision before;
+  StoreRevision after;
+  /** Items that the store lacks, and that stay in force for now. */
+  size_t carried = 0;
+};
+
 /** An update to be sent to several instances. */
 struct FeedPush {
   std::vector<InstanceId> to;
@@ -78,6 +93,8 @@
   std::vector<StoreItem> changed_items;
   /** Set when a full read of the store has ended. */
   std::optional<ReloadSummary> reloaded;
+  /** Set when the store was found to be restored from an older copy. */
+  std::optional<RestorationSummary> restored;
   /** For logs: how long a peer has been ahead of this copy; unset if none is.
    */
   std::optional<Duration> behind_for;
@@ -118,7 +135,8 @@
 /** Answers a peer's request for changes. */
 FeedActions HandleFeedRequest(const Feed& feed,
                               const InstanceId& from,
-                              const FeedRequest& request);
+                              const FeedRequest& request,
+                              TimePoint now);
 
 /**
  * Requests whole values in place of an update whose patches do not apply to
@@ -144,7 +162,7 @@
 /** When the copy was last known to be current; no value if it never was. */
 std::optional<TimePoint> ConfirmedAt(const Feed& feed);
 
-uint64_t FeedRevision(const Feed& feed);
+StoreRevision FeedRevision(const Feed& feed);
 
 }  // namespace mangodoor
 
--- a/src/process/registry/feed_reader.cc
+++ b/src/process/registry/feed_reader.cc
@@ -15,6 +15,8 @@
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(300);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(1500);
 
+constexpr std::chrono::milliseconds kShortestWait{1};
+
 // While an instance of lower rank reads, this one retries less often.
 constexpr Duration kFollowerRetryDelay = std::chrono::milliseconds(2500);
 
@@ -68,12 +70,15 @@
   return NextPage(reader);
 }
 
+// A store that was away can have been restored from an older copy. Only an
+// answer tells, so the first watch is answered at once.
 ReadStart StartWatch(FeedReader& reader, const ReaderInputs& inputs) {
   reader.phase = FeedReader::Phase::kWatching;
+  reader.watched_from = inputs.revision;
   ReadStart start;
   start.kind = ReadStart::Kind::kWatch;
-  start.after_revision = inputs.revision;
-  start.wait = kWatchWait;
+  start.after_revision = inputs.revision.number;
+  start.wait = reader.failures > 0 ? kShortestWait : kWatchWait;
   return start;
 }
 
@@ -111,16 +116,22 @@
   reader.phase = FeedReader::Phase::kIdle;
   if (kind == StoreAnswer::Kind::kItems) {
     reader.failures = 0;
-    if (was_reload)
+    if (was_reload) {
       reader.needs_reload = false;
-    else
+      ++reader.vain_reloads;
+    } else {
       reader.unusable_watches = 0;
+      reader.vain_reloads = 0;
+    }
     reader.not_before = now + (had_changes ? kBatchingDelay : Duration::zero());
     return;
   }
   if (kind == StoreAnswer::Kind::kCompacted) {
     reader.needs_reload = true;
-    reader.not_before = now;
+    // A second reload in a row would probably end in the same way, too.
+    reader.not_before =
+        now + (reader.vain_reloads > 1 ? RetryDelay(reader.vain_reloads - 1)
+                                       : Duration::zero());
     return;
   }
   // The same watch would get the same answer until the store compacts its
--- a/src/process/registry/feed_reader.h
+++ b/src/process/registry/feed_reader.h
@@ -16,6 +16,8 @@
   Phase phase = Phase::kIdle;
   /** When the latest read was started. */
   TimePoint started{};
+  /** The replica's revision when the latest watch was started. */
+  StoreRevision watched_from;
   /** The next read starts at this time at the earliest. */
   std::optional<TimePoint> not_before;
   /** Failed reads since the last successful one. */
@@ -27,6 +29,8 @@
   bool needs_reload = false;
   /** Watches with an unusable answer since the last usable one. */
   int unusable_watches = 0;
+  /** Reloads that did not end in a usable watch. */
+  int vain_reloads = 0;
   StoreReload reload;
   /**
    * When it was first seen that no instance of lower rank reads the store;
@@ -46,7 +50,7 @@
    */
   bool lower_rank_reads = false;
   /** The revision of the replica; 0 before the first full copy. */
-  uint64_t revision = 0;
+  StoreRevision revision;
   /**
    * Since when a peer has had changes that the replica lacks; unset if none
    * has.
@@ -60,6 +64,7 @@
   Kind kind = Kind::kNone;
   std::string after_key;
   ReadConsistency consistency = ReadConsistency::kCurrent;
+  /** In the era of the replica. */
   uint64_t after_revision = 0;
   std::chrono::milliseconds wait{};
 };
--- a/src/process/registry/io/feed_patches.cc
+++ b/src/process/registry/io/feed_patches.cc
@@ -31,9 +31,9 @@
 
 /** Removes each large item that is followed by a later change of its key. */
 void RemoveSuperseded(std::vector<StoreItem>& items) {
-  std::map<std::string, uint64_t> latest;
+  std::map<std::string, StoreRevision> latest;
   for (const StoreItem& item : items) {
-    uint64_t& revision = latest[item.key];
+    StoreRevision& revision = latest[item.key];
     revision = std::max(revision, item.revision);
   }
   items.erase(std::remove_if(items.begin(), items.end(),
@@ -46,9 +46,10 @@
 
 /** Applies the patches that follow the known value. */
 bool Expand(const StoreItem& known, StoreItem& item) {
-  auto patch = std::find_if(
-      item.patches.begin(), item.patches.end(),
-      [&known](const ValuePatch& p) { return p.base == known.revision; });
+  auto patch = std::find_if(item.patches.begin(), item.patches.end(),
+                            [&known](const ValuePatch& p) {
+                              return p.base == known.revision.number;
+                            });
   if (known.deleted || patch == item.patches.end())
     return false;
   std::string value = known.value;
@@ -70,10 +71,12 @@
     if (!IsLarge(item))
       continue;
     const StoreItem known = KnownItem(feed, item.key);
-    if (!IsLarge(known) || known.revision >= item.revision)
+    if (!IsLarge(known) || known.revision.era != item.revision.era ||
+        known.revision >= item.revision)
       continue;
     if (auto bytes = EncodePatch(known.value, item.value))
-      item.patches = {{known.revision, item.revision, std::move(*bytes)}};
+      item.patches = {
+          {known.revision.number, item.revision.number, std::move(*bytes)}};
   }
 }
 
--- a/src/process/registry/platform_store.h
+++ b/src/process/registry/platform_store.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "process/clock.h"
+#include "process/registry/store_revision.h"
 #include "process/registry/value_patch.h"
 
 namespace mangodoor {
@@ -16,7 +17,7 @@
   std::string key;
   std::string value;
   /** Revision of the store at which the item was written or deleted. */
-  uint64_t revision = 0;
+  StoreRevision revision;
   bool deleted = false;
   /**
    * How the value came about, oldest first; empty if it is not known. Between
@@ -49,8 +50,12 @@
   std::vector<StoreItem> items;
   /** For a page: more keys follow the last one. */
   bool more = false;
-  /** Revision of the store that this answer reflects. */
-  uint64_t revision = 0;
+  /**
+   * Revision of the store that this answer reflects. Its era, which all items
+   * have, too, is valid only if `names_era`.
+   */
+  StoreRevision revision;
+  bool names_era = false;
   /** Why there are no items, for logs. */
   std::string reason;
 };
--- a/src/process/registry/store_replica.cc
+++ b/src/process/registry/store_replica.cc
@@ -1,6 +1,7 @@
 #include "process/registry/store_replica.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace mangodoor {
@@ -28,33 +29,49 @@
 /** Keeps the patches of an item that replaces the one at `known_revision`. */
 void RecordPatches(StoreReplica& replica,
                    const StoreItem& item,
-                   uint64_t known_revision) {
+                   uint64_t known_number) {
   const auto first = std::find_if(
       item.patches.begin(), item.patches.end(),
-      [&](const ValuePatch& patch) { return patch.base == known_revision; });
+      [&](const ValuePatch& patch) { return patch.base == known_number; });
   if (first == item.patches.end() ||
-      item.patches.back().revision != item.revision) {
+      item.patches.back().revision != item.revision.number) {
     replica.patches.erase(item.key);
     return;
   }
   std::deque<ValuePatch>& patches = replica.patches[item.key];
-  if (!patches.empty() && patches.back().revision != known_revision)
+  if (!patches.empty() && patches.back().revision != known_number)
     patches.clear();
   patches.insert(patches.end(), first, item.patches.end());
   TrimPatches(patches, item.value.size() / kValueToPatchesRatio);
 }
 
+/** True if the restored store has the item as it was. */
+bool HasSameState(const StoreItem& known, const StoreItem& item) {
+  return known.revision.era < item.revision.era && !item.deleted &&
+         known.revision.number == item.revision.number &&
+         known.value == item.value;
+}
+
+/** The state of the key in the replica. */
+ItemState KnownState(const StoreReplica& replica, const std::string& key) {
+  const auto known = replica.items.find(key);
+  return known == replica.items.end() ? ItemState() : StateOf(known->second);
+}
+
 /**
  * Applies one change. Returns false if the replica has this or a later change
  * of the item, or if the change deletes an unknown item.
  */
 bool ApplyItem(StoreReplica& replica, const StoreItem& item) {
   const auto known = replica.items.find(item.key);
-  if (known != replica.items.end() && known->second.revision >= item.revision)
+  if (known != replica.items.end() &&
+      (known->second.revision >= item.revision ||
+       HasSameState(known->second, item)))
     return false;
   if (!item.deleted) {
-    RecordPatches(replica, item,
-                  known == replica.items.end() ? 0 : known->second.revision);
+    RecordPatches(
+        replica, item,
+        known == replica.items.end() ? 0 : known->second.revision.number);
     StoreItem& kept = replica.items[item.key];
     kept = item;
     kept.patches.clear();
@@ -67,8 +84,10 @@
   return true;
 }
 
-void AddRecentChange(StoreReplica& replica, const StoreItem& item) {
-  replica.recent.push_back({item.key, item.revision});
+void AddRecentChange(StoreReplica& replica,
+                     const StoreItem& item,
+                     const ItemState& replaced) {
+  replica.recent.push_back({item.key, item.revision, replaced});
   while (replica.recent.size() > kMaxRecentChanges) {
     // After a reload, `recent` is not strictly ordered by revision.
     replica.recent_after =
@@ -80,7 +99,7 @@
 /** The item with this key, or its deletion at `changed_at`. */
 StoreItem CurrentState(const StoreReplica& replica,
                        const std::string& key,
-                       uint64_t changed_at) {
+                       const StoreRevision& changed_at) {
   const auto known = replica.items.find(key);
   if (known != replica.items.end())
     return known->second;
@@ -96,16 +115,16 @@
  * A receiver that has a part of these changes uses the rest.
  */
 void ReplaceValueByPatches(const StoreReplica& replica,
-                           uint64_t revision,
+                           const StoreRevision& revision,
                            StoreItem& item) {
   const auto known = replica.patches.find(item.key);
-  if (known == replica.patches.end())
+  if (known == replica.patches.end() || revision.era != replica.revision.era)
     return;
   const std::deque<ValuePatch>& patches = known->second;
   const auto first = std::find_if(
       patches.begin(), patches.end(),
-      [revision](const ValuePatch& p) { return p.revision > revision; });
-  if (first == patches.end() || first->base > revision)
+      [&](const ValuePatch& p) { return p.revision > revision.number; });
+  if (first == patches.end() || first->base > revision.number)
     return;
   item.patches.assign(first, patches.end());
   item.value.clear();
@@ -115,7 +134,7 @@
 std::vector<StoreItem> DeletionsIn(
     const StoreReplica& replica,
     const std::map<std::string, StoreItem>& full_copy,
-    uint64_t revision) {
+    const StoreRevision& revision) {
   std::vector<StoreItem> missing;
   for (const auto& [key, item] : replica.items) {
     if (full_copy.count(key) > 0 || item.revision > revision)
@@ -134,8 +153,8 @@
  * all of the changes in `span`.
  */
 bool LiesWithin(const std::optional<RevisionSpan>& span,
-                uint64_t revision,
-                uint64_t newest) {
+                const StoreRevision& revision,
+                const StoreRevision& newest) {
   return span && newest > span->after && revision < span->up_to;
 }
 
@@ -149,13 +168,19 @@
   replica.compared->up_to = std::max(replica.compared->up_to, span.up_to);
 }
 
+/** A change of the replica, and what it replaced. */
+struct ChangedItem {
+  StoreItem item;
+  ItemState replaced;
+};
+
 // Followers that had the replica's items need only the difference. A full copy
 // for each of them would saturate the link of a small instance for seconds. A
 // replica that had some changes beyond its revision lacks what followers
 // without them need, so that they get a full copy then.
 void AddReloadToRecent(StoreReplica& replica,
-                       std::vector<StoreItem> changed_items,
-                       uint64_t revision) {
+                       std::vector<ChangedItem> changed_items,
+                       const StoreRevision& revision) {
   if (replica.revision == 0 || replica.newest > replica.revision) {
     replica.recent.clear();
     replica.recent_after = revision;
@@ -164,29 +189,41 @@
   }
   AddComparedSpan(replica, {replica.revision, revision});
   std::sort(changed_items.begin(), changed_items.end(),
-            [](const StoreItem& a, const StoreItem& b) {
-              return a.revision < b.revision;
+            [](const ChangedItem& a, const ChangedItem& b) {
+              return a.item.revision < b.item.revision;
             });
-  for (const StoreItem& item : changed_items)
-    AddRecentChange(replica, item);
+  for (const ChangedItem& changed : changed_items)
+    AddRecentChange(replica, changed.item, changed.replaced);
+}
+
+/** Gives all items the era of the restored store. */
+void SetEra(StoreReplica& replica, uint64_t era) {
+  for (auto& [key, item] : replica.items)
+    item.revision.era = era;
 }
 
 std::vector<StoreItem> ApplyFullCopy(
     StoreReplica& replica,
     const std::map<std::string, StoreItem>& full_copy,
-    uint64_t revision,
-    uint64_t newest) {
+    const StoreRevision& revision,
+    const StoreRevision& newest) {
+  std::vector<ChangedItem> changed;
   std::vector<StoreItem> changed_items;
   for (const StoreItem& deletion : DeletionsIn(replica, full_copy, revision)) {
+    changed.push_back({deletion, KnownState(replica, deletion.key)});
+    changed_items.push_back(deletion);
     replica.items.erase(deletion.key);
     replica.patches.erase(deletion.key);
-    changed_items.push_back(deletion);
   }
   for (const auto& [key, item] : full_copy) {
-    if (ApplyItem(replica, item))
-      changed_items.push_back(item);
+    const ItemState replaced = KnownState(replica, key);
+    if (!ApplyItem(replica, item))
+      continue;
+    changed.push_back({item, replaced});
+    changed_items.push_back(item);
   }
-  AddReloadToRecent(replica, changed_items, revision);
+  AddReloadToRecent(replica, std::move(changed), revision);
+  SetEra(replica, revision.era);
   replica.revision = revision;
   replica.newest = std::max({replica.newest, revision, newest});
   return changed_items;
@@ -194,6 +231,12 @@
 
 }  // namespace
 
+ItemState StateOf(const StoreItem& item) {
+  if (item.deleted)
+    return {};
+  return {item.revision.number, std::hash<std::string>()(item.value)};
+}
+
 ReloadSummary SummaryOf(const StoreReload& reload) {
   return {reload.pages, reload.revision, reload.newest_page};
 }
@@ -247,10 +290,13 @@
   for (const StoreItem& item : changes.items) {
     if (item.revision <= replica.revision)
       continue;
+    const ItemState replaced = KnownState(replica, item.key);
     if (ApplyItem(replica, item))
       changed_items.push_back(item);
-    AddRecentChange(replica, item);
+    AddRecentChange(replica, item, replaced);
   }
+  if (changes.up_to.era > replica.revision.era)
+    SetEra(replica, changes.up_to.era);
   if (changes.compared && changes.compared->up_to > replica.revision)
     AddComparedSpan(replica, *changes.compared);
   replica.revision = std::max(replica.revision, changes.up_to);
@@ -259,7 +305,7 @@
 }
 
 StoreChanges ChangesAfter(const StoreReplica& replica,
-                          uint64_t revision,
+                          const StoreRevision& revision,
                           ValueForm form) {
   StoreChanges changes;
   changes.up_to = replica.revision;
@@ -276,7 +322,7 @@
   if (replica.compared && revision < replica.compared->up_to)
     changes.compared = replica.compared;
   // A follower needs only the latest state of each key.
-  std::map<std::string, uint64_t> changed;
+  std::map<std::string, StoreRevision> changed;
   for (const RecentChange& change : replica.recent) {
     if (change.revision > revision)
       changed[change.key] = change.revision;
--- a/src/process/registry/store_replica.h
+++ b/src/process/registry/store_replica.h
@@ -13,18 +13,18 @@
 
 /** Revisions above `after`, up to `up_to`. */
 struct RevisionSpan {
-  uint64_t after = 0;
-  uint64_t up_to = 0;
+  StoreRevision after;
+  StoreRevision up_to;
 };
 
 /** Changes of the store after one revision, up to another one. */
 struct StoreChanges {
   /** The receiver must have all changes up to this; 0 for a full copy. */
-  uint64_t after = 0;
+  StoreRevision after;
   /** The receiver's revision once it has applied the changes. */
-  uint64_t up_to = 0;
+  StoreRevision up_to;
   /** As in StoreReplica. */
-  uint64_t newest = 0;
+  StoreRevision newest;
   /** As in StoreReplica; unset for a full copy. */
   std::optional<RevisionSpan> compared;
   /** True if `items` is a full copy of the store at `up_to`. */
@@ -32,10 +32,21 @@
   std::vector<StoreItem> items;
 };
 
+/** Identifies one state of an item. */
+struct ItemState {
+  /** Number of the revision at which it was written; 0 if it did not exist. */
+  uint64_t number = 0;
+  size_t value_hash = 0;
+};
+
+ItemState StateOf(const StoreItem& item);
+
 /** A key that changed. */
 struct RecentChange {
   std::string key;
-  uint64_t revision = 0;
+  StoreRevision revision;
+  /** The state that the change replaced. */
+  ItemState replaced;
 };
 
 /**
@@ -45,13 +56,13 @@
 struct StoreReplica {
   /** Items by key. */
   std::map<std::string, StoreItem> items;
-  /** 0 before the first full copy. */
-  uint64_t revision = 0;
-  uint64_t newest = 0;
+  /** 0 before the first full copy. All items have its era. */
+  StoreRevision revision;
+  StoreRevision newest;
   /** Keys of the latest changes, oldest first, for updates to followers. */
   std::deque<RecentChange> recent;
   /** `recent` holds every change after this revision, but for `compared`. */
-  uint64_t recent_after = 0;
+  StoreRevision recent_after;
   /**
    * Latest changes of the values of large items by key, each the base of the
    * one after it. The last one results in the item's value.
@@ -71,8 +82,8 @@
    * Revision of the oldest page: up to it, `items` lacks no change. Other pages
    * can contain later changes.
    */
-  uint64_t revision = 0;
-  uint64_t newest_page = 0;
+  StoreRevision revision;
+  StoreRevision newest_page;
   /** The last key read; the next page begins after it. */
   std::string after_key;
   int pages = 0;
@@ -84,8 +95,8 @@
 struct ReloadSummary {
   int pages = 0;
   /** Revision of the oldest page, from which the copy is kept up to date. */
-  uint64_t revision = 0;
-  uint64_t newest_page = 0;
+  StoreRevision revision;
+  StoreRevision newest_page;
 };
 
 ReloadSummary SummaryOf(const StoreReload& reload);
@@ -122,7 +133,7 @@
 
 /** The changes for an instance that has all changes up to `revision`. */
 StoreChanges ChangesAfter(const StoreReplica& replica,
-                          uint64_t revision,
+                          const StoreRevision& revision,
                           ValueForm form = ValueForm::kWhole);
 
 }  // namespace mangodoor
--- a/src/process/servers/server_discovery.cc
+++ b/src/process/servers/server_discovery.cc
@@ -95,7 +95,8 @@
   entry.record_is_draining = record.draining;
   // The remaining time counts from when the record was first read, so that it
   // must not be applied twice.
-  if (record.revision == 0 || record.revision != entry.record_revision)
+  if (record.revision == StoreRevision() ||
+      record.revision != entry.record_revision)
     SetColdByRecord(entry.cold_window, record.cold_remaining, now);
   entry.record_revision = record.revision;
   UpdateDataCentreState(pool, entry);
--- a/src/process/servers/server_pool.h
+++ b/src/process/servers/server_pool.h
@@ -76,7 +76,7 @@
   bool discovered = false;
   int64_t incarnation = 0;
   /** ServerRecord::revision of the record that was applied last. */
-  uint64_t record_revision = 0;
+  StoreRevision record_revision;
   bool record_is_draining = false;
   ColdWindow cold_window;
   /** Set while the server is regarded as cold. */
--- a/src/process/servers/server_record.h
+++ b/src/process/servers/server_record.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "process/clock.h"
+#include "process/registry/store_revision.h"
 #include "version/endpoint.h"
 #include "version/ids.h"
 
@@ -24,7 +25,7 @@
   /** Distinguishes the restarts of a server that keeps its id. */
   int64_t incarnation = 0;
   /** Revision of the store at which it was written; 0 if that is not known. */
-  uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 }  // namespace mangodoor
--- a/src/process/status/fleet_status.cc
+++ b/src/process/status/fleet_status.cc
@@ -24,7 +24,9 @@
 
 void FillFromFeed(const Feed& feed, TimePoint now, FleetStatus& status) {
   OrderedLock lock(feed.mutex);
-  status.store_revision = feed.replica.revision;
+  status.store_revision = feed.replica.revision.number;
+  status.store_era = feed.replica.revision.era;
+  status.carried_items = feed.carried.size();
   status.reads_store = IsReading(feed.reader);
   if (feed.confirmation)
     status.store_age = now - feed.confirmation->at;
@@ -32,7 +34,7 @@
     const auto peer = feed.peers.find(member.member.id);
     if (peer == feed.peers.end())
       continue;
-    member.store_revision = peer->second.revision;
+    member.store_revision = peer->second.revision.number;
     member.reads_store = peer->second.reads_store;
   }
 }
--- a/src/process/status/fleet_status.h
+++ b/src/process/status/fleet_status.h
@@ -34,6 +34,10 @@
   /** This instance's rank in its data centre, from 0; 0 to 2 are the hubs. */
   size_t rank = 0;
   uint64_t store_revision = 0;
+  /** Rises each time the store is restored from an older copy. */
+  uint64_t store_era = 0;
+  /** Items that stay in force although the restored store lacks them. */
+  size_t carried_items = 0;
   /** Time since the copy was known to be current; unset if it never was. */
   std::optional<Duration> store_age;
   /** True if this instance reads the store itself. */
--- a/src/process/status/io/metrics.cc
+++ b/src/process/status/io/metrics.cc
@@ -207,6 +207,14 @@
             "Revision of the platform's store that this instance works with.")
       .Add({})
       .Set(static_cast<double>(fleet.store_revision));
+  AddGauges(registry, "mangodoor_store_era",
+            "Rises each time the store is restored from an older copy.")
+      .Add({})
+      .Set(static_cast<double>(fleet.store_era));
+  AddGauges(registry, "mangodoor_carried_items",
+            "Items that stay in force although the restored store lacks them.")
+      .Add({})
+      .Set(static_cast<double>(fleet.carried_items));
   if (fleet.store_age) {
     AddGauges(registry, "mangodoor_store_age_seconds",
               "Time since the copy of the store was known to be current.")
--- a/src/process/status/io/status_codec.cc
+++ b/src/process/status/io/status_codec.cc
@@ -215,6 +215,8 @@
 Json EncodeFleet(const FleetStatus& fleet) {
   Json json = {{"rank", fleet.rank},
                {"store_revision", fleet.store_revision},
+               {"store_era", fleet.store_era},
+               {"carried_items", fleet.carried_items},
                {"store_age_ms", nullptr},
                {"reads_store", fleet.reads_store},
                {"entries_refused", fleet.entries_refused},
@@ -232,6 +234,8 @@
   FleetStatus fleet;
   fleet.rank = json.at("rank");
   fleet.store_revision = json.at("store_revision");
+  fleet.store_era = json.at("store_era");
+  fleet.carried_items = json.at("carried_items");
   if (!json.at("store_age_ms").is_null())
     fleet.store_age = MillisecondsAt(json, "store_age_ms");
   fleet.reads_store = json.at("reads_store");
--- a/src/process/status/io/status_text.cc
+++ b/src/process/status/io/status_text.cc
@@ -73,6 +73,10 @@
                                 FormatMilliseconds(*fleet.store_age) + " ago"
                           : ", never known to be current") +
          (fleet.reads_store ? ", read by this instance" : "") +
+         (fleet.carried_items > 0 ? "\nrestored from an older copy: " +
+                                        std::to_string(fleet.carried_items) +
+                                        " items stay in force that it lacks"
+                                  : "") +
          "\nfleet: rank " + std::to_string(fleet.rank) +
          " in the data centre, " + FormatNumber(fleet.requests_per_s) +
          " requests a second" + FormatColdServers(fleet.cold_servers);
--- a/tests/operators/status_test.cc
+++ b/tests/operators/status_test.cc
@@ -52,6 +52,7 @@
   FleetStatus& fleet = status.fleet.emplace();
   fleet.rank = 2;
   fleet.store_revision = 41;
+  fleet.store_era = 3;
   fleet.store_age = milliseconds(120);
   fleet.reads_store = true;
   fleet.entries_refused = 7;
@@ -84,6 +85,7 @@
   EXPECT_EQ(EncodeStatus(decoded), text);
   ASSERT_TRUE(decoded.fleet);
   EXPECT_EQ(decoded.fleet->store_age, milliseconds(120));
+  EXPECT_EQ(decoded.fleet->store_era, 3U);
   EXPECT_EQ(decoded.fleet->entries_refused, 7U);
   EXPECT_EQ(decoded.fleet->cold_servers.cold, 3);
   EXPECT_EQ(decoded.fleet->cold_servers.requests, 14U);
@@ -106,6 +108,11 @@
   EXPECT_THAT(text, HasSubstr("10.0.0.2:7101  west         leaving  yes"));
   EXPECT_THAT(text, HasSubstr("10.0.0.3:7101  west         gone"));
   EXPECT_THAT(text, Not(HasSubstr("instance list")));
+  EXPECT_THAT(text, Not(HasSubstr("restored")));
+  InstanceStatus restored = SampleFleetStatus();
+  restored.fleet->carried_items = 2;
+  EXPECT_THAT(FormatStatus(restored),
+              HasSubstr("restored from an older copy: 2 items stay in force"));
 }
 
 // Guards against a table that does not show which counts the share of a cold
--- a/tests/platform/store_extra_response_test.cc
+++ b/tests/platform/store_extra_response_test.cc
@@ -32,8 +32,9 @@
 
 uint64_t RevisionOf(asio::io_context& context, StoreClient& client) {
   uint64_t revision = 0;
-  client.Watch(0, std::chrono::milliseconds(0),
-               [&revision](StoreAnswer answer) { revision = answer.revision; });
+  client.Watch(
+      0, std::chrono::milliseconds(0),
+      [&revision](StoreAnswer answer) { revision = answer.revision.number; });
   context.run();
   context.restart();
   return revision;
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -302,14 +302,35 @@
         {{"ApiKeys", Json::array({key_withdrawn ? "another" : kKey})},
          {"RatePerS", tenant_rate_per_s},
          {"Burst", static_cast<int>(tenant_rate_per_s)}}}});
-  WriteStoreItem(
-      "PUT", "op/config",
+  WriteAsOperator(
+      "op/config",
       Json{{"Version", ToHex(version)}, {"Resources", resources}}.dump());
 }
 
 void PlatformFleet::Evacuate(int zone, bool out) {
-  WriteStoreItem(out ? "PUT" : "DELETE",
-                 "op/evacuate/zone-" + std::to_string(zone), "{}");
+  WriteAsOperator("op/evacuate/zone-" + std::to_string(zone),
+                  out ? std::optional<std::string>("{}") : std::nullopt);
+}
+
+void PlatformFleet::WriteAsOperator(const std::string& key,
+                                    const std::optional<std::string>& value) {
+  operator_writes_[key] = value;
+  WriteStoreItem(value ? "PUT" : "DELETE", key, value.value_or(""));
+}
+
+void PlatformFleet::RestoreStore(std::chrono::milliseconds away,
+                                 std::chrono::milliseconds age) {
+  CallOnce({Host(kStoreGroup, 0), kStorePort},
+           {"POST",
+            "/standin/restore?away_ms=" + std::to_string(away.count()) +
+                "&age_ms=" + std::to_string(age.count()),
+            {},
+            ""});
+}
+
+void PlatformFleet::RepeatOperatorWrites() {
+  for (const auto& [key, value] : operator_writes_)
+    WriteStoreItem(value ? "PUT" : "DELETE", key, value.value_or(""));
 }
 
 void PlatformFleet::SetStoreMode(const std::string& mode) {
--- a/tests/platform_fleet/platform_fleet.h
+++ b/tests/platform_fleet/platform_fleet.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -120,6 +121,14 @@
   void PutItemText(const std::string& key, const std::string& text) const;
   void SetStoreMode(const std::string& mode);
   void CompactStore();
+  /**
+   * The store is away for a while, and comes back from a copy that is this old.
+   * Returns at once.
+   */
+  void RestoreStore(std::chrono::milliseconds away,
+                    std::chrono::milliseconds age);
+  /** Writes again what an operator has written last, and deletes the rest. */
+  void RepeatOperatorWrites();
   /**
    * Number of requests that the store has received, except those below
    * /standin/; -1 if it does not respond.
@@ -176,6 +185,9 @@
   void StartRelays();
   Endpoint InstanceAddress(int index, int port) const;
   nlohmann::json TemplateFields(int index) const;
+  /** An operator's write; a deletion if there is no value. */
+  void WriteAsOperator(const std::string& key,
+                       const std::optional<std::string>& value);
   std::string SettingsPath(int index) const;
   void WriteStoreItem(const std::string& method,
                       const std::string& key,
@@ -189,6 +201,8 @@
   std::map<int, std::unique_ptr<FaultRelay>> store_relays_;
   std::map<int, std::unique_ptr<FaultRelay>> server_relays_;
   std::vector<std::unique_ptr<ChildProcess>> servers_;
+  /** The operator's latest write of each key; a deletion if empty. */
+  std::map<std::string, std::optional<std::string>> operator_writes_;
   std::vector<std::unique_ptr<ChildProcess>> instances_;
 };
 
--- a/tests/platform_fleet/platform_fleet_test.cc
+++ b/tests/platform_fleet/platform_fleet_test.cc
@@ -333,6 +333,64 @@
   EXPECT_THAT(counts.failures, IsEmpty());
 }
 
+// Guards against instances that go back to an older state, or ignore all later
+// changes, once the store has come back from an older copy; also against one
+// that starts before operators have written the rest again.
+TEST(PlatformFleetTest, StoreFromAnOlderCopyTakesNothingBack) {
+  constexpr milliseconds kAway(500);
+  constexpr milliseconds kCopyAge(4000);
+  // The revision of the store stays below that of the lost writes.
+  constexpr int kLostWrites = 30;
+  PlatformFleet fleet({});
+  ASSERT_TRUE(fleet.WaitUntilReady(kStartLimit));
+  std::this_thread::sleep_for(kCopyAge);
+  fleet.extra_prefix = "/new/";
+  fleet.key_withdrawn = true;
+  fleet.Publish();
+  fleet.Evacuate(0, true);
+  for (int i = 0; i < kLostWrites; ++i)
+    fleet.PutItem("other/" + std::to_string(i), "lost");
+  std::this_thread::sleep_for(kConfigurationLimit);
+  const auto status = [&fleet](int instance, const char* path) {
+    return fleet.Call(fleet.caller_endpoint(instance), "drill", "GET", path)
+        .status;
+  };
+  const auto expect_in_force = [&](int instance) {
+    // The key of the calls was withdrawn.
+    EXPECT_EQ(status(instance, "/new/x"), 401) << instance;
+    EXPECT_EQ(status(instance, "/gone/x"), 404) << instance;
+    EXPECT_TRUE(fleet.StatusOf(instance).fleet->store_era > 0) << instance;
+  };
+  fleet.RestoreStore(kAway, kCopyAge + kConfigurationLimit);
+  std::this_thread::sleep_for(kAway);
+  fleet.KillInstance(3);
+  fleet.StartInstance(3);
+  std::this_thread::sleep_for(kConfigurationLimit);
+  const auto end = std::chrono::steady_clock::now() + seconds(3);
+  while (std::chrono::steady_clock::now() < end) {
+    for (int i = 0; i < fleet.instances(); ++i)
+      expect_in_force(i);
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  fleet.RepeatOperatorWrites();
+  std::this_thread::sleep_for(kConfigurationLimit);
+  for (int i = 0; i < fleet.instances(); ++i)
+    expect_in_force(i);
+  fleet.extra_prefix = "/newer/";
+  fleet.key_withdrawn = false;
+  fleet.Publish();
+  std::this_thread::sleep_for(kConfigurationLimit);
+  for (int i = 0; i < fleet.instances(); ++i) {
+    EXPECT_EQ(status(i, "/newer/x"), 200) << i;
+    EXPECT_EQ(status(i, "/new/x"), 404) << i;
+  }
+  for (int i = 0; i < fleet.servers(); ++i) {
+    if (fleet.zone_of_server(i) == 0) {
+      EXPECT_EQ(fleet.ServerCounters(i)["runs"].count("drill"), 0U) << i;
+    }
+  }
+}
+
 // Guards against an outage of the store that interrupts service, and against
 // the loss of changes that are made during an outage.
 TEST(PlatformFleetTest, StoreOutageLosesNothing) {
--- a/tests/registry/registry_applier_test.cc
+++ b/tests/registry/registry_applier_test.cc
@@ -62,6 +62,17 @@
   RegistryApplier applier_{tables_, feed_, clock_, actions_, self_, Decode};
 };
 
+// Guards against changes of a store that was restored from an older copy, which
+// are ignored because their revisions are lower than those known.
+TEST_F(RegistryApplierTest, LaterErasCountMoreThanHigherRevisions) {
+  const StoreItem before{"key", "before", {1, 100}, false};
+  const StoreItem restored{"key", "restored", {2, 40}, false};
+  const StoreItem late{"key", "late", {1, 101}, false};
+  EXPECT_EQ(ApplyAndLog({before, restored, late}),
+            (std::vector<std::string>{"the whole text; allowed: before",
+                                      "the whole text; allowed: restored"}));
+}
+
 // Guards against a line for each of an entry's heartbeats, and against a reason
 // that is not logged because the entry was refused before.
 TEST_F(RegistryApplierTest, LogsARefusedEntryWhenItsReasonChanges) {
--- a/tests/registry/registry_sim_test.cc
+++ b/tests/registry/registry_sim_test.cc
@@ -149,8 +149,9 @@
   for (int i = 0; i < 50; ++i)
     sim.store().Put("op/config", std::to_string(i));
   sim.RunFor(kPropagationBound);
-  const FeedActions actions = HandleFeedRequest(
-      *sim.instance(0).feed, InstanceId("late"), FeedRequest{before});
+  const FeedActions actions =
+      HandleFeedRequest(*sim.instance(0).feed, InstanceId("late"),
+                        FeedRequest{before}, sim.now());
   ASSERT_EQ(actions.messages.size(), 1U);
   const auto& update = std::get<FeedUpdate>(actions.messages[0].message);
   ASSERT_EQ(update.changes.items.size(), 1U);
--- a/tests/registry/store_sim.cc
+++ b/tests/registry/store_sim.cc
@@ -35,6 +35,14 @@
       static_cast<double>(bytes) / machine.link_bytes_per_s));
 }
 
+std::unique_ptr<Feed> MakeFeed() {
+  auto feed = std::make_unique<Feed>();
+  feed->lapses_alone = [](const std::string& key) {
+    return key.rfind("servers/", 0) == 0;
+  };
+  return feed;
+}
+
 }  // namespace
 
 void SimStore::Put(const std::string& key, const std::string& value) {
@@ -63,20 +71,48 @@
   history_after_ = revision_;
 }
 
-StoreAnswer SimStore::StalePage(const std::string& after_key,
-                                uint64_t revision) const {
-  StoreAnswer answer;
-  answer.kind = StoreAnswer::Kind::kItems;
-  answer.revision = std::max<uint64_t>(revision, 1);
+void SimStore::Restore(uint64_t revision) {
+  items_ = ItemsAt(revision);
+  const auto is_lost = [revision](const StoreItem& change) {
+    return change.revision > revision;
+  };
+  history_.erase(std::remove_if(history_.begin(), history_.end(), is_lost),
+                 history_.end());
+  all_changes_.erase(
+      std::remove_if(all_changes_.begin(), all_changes_.end(), is_lost),
+      all_changes_.end());
+  history_after_ = std::min(history_after_, revision);
+  revision_ = revision;
+  ++era_;
+}
+
+void SimStore::SetEra(StoreAnswer& answer) const {
+  answer.names_era = true;
+  answer.revision.era = era_;
+  for (StoreItem& item : answer.items)
+    item.revision.era = era_;
+}
+
+std::map<std::string, StoreItem> SimStore::ItemsAt(uint64_t revision) const {
   std::map<std::string, StoreItem> items;
   for (const StoreItem& change : all_changes_) {
-    if (change.revision > answer.revision)
+    if (change.revision > revision)
       break;
     if (change.deleted)
       items.erase(change.key);
     else
       items[change.key] = change;
   }
+  return items;
+}
+
+StoreAnswer SimStore::StalePage(const std::string& after_key,
+                                uint64_t revision) const {
+  StoreAnswer answer;
+  answer.kind = StoreAnswer::Kind::kItems;
+  answer.revision = std::max<uint64_t>(revision, 1);
+  const std::map<std::string, StoreItem> items =
+      ItemsAt(answer.revision.number);
   for (auto it = items.upper_bound(after_key); it != items.end(); ++it) {
     if (answer.items.size() == page_size_) {
       answer.more = true;
@@ -84,13 +120,14 @@
     }
     answer.items.push_back(it->second);
   }
+  SetEra(answer);
   return answer;
 }
 
 StoreAnswer SimStore::Changes(uint64_t revision) const {
   StoreAnswer answer;
   answer.revision = revision_;
-  if (revision < history_after_) {
+  if (revision < history_after_ || revision > revision_) {
     answer.kind = StoreAnswer::Kind::kCompacted;
     return answer;
   }
@@ -101,6 +138,7 @@
   }
   if (answer.items.size() > max_usable_changes)
     answer.kind = StoreAnswer::Kind::kUnusable;
+  SetEra(answer);
   return answer;
 }
 
@@ -119,7 +157,7 @@
       instance->id = InstanceId(std::to_string(d) + "-" + std::to_string(i));
       instance->data_centre = d;
       instance->rank = static_cast<size_t>(i);
-      instance->feed = std::make_unique<Feed>();
+      instance->feed = MakeFeed();
       instances_.push_back(std::move(instance));
     }
   }
@@ -127,7 +165,7 @@
 
 void RegistrySim::Restart(int index) {
   SimFeedInstance& restarted = instance(index);
-  restarted.feed = std::make_unique<Feed>();
+  restarted.feed = MakeFeed();
   restarted.read.reset();
   restarted.answer.reset();
   restarted.applied.clear();
@@ -320,7 +358,7 @@
                                          message.from, *heartbeat, now_));
       if (const auto* request = std::get_if<FeedRequest>(&content))
         ApplyActions(*receiver, HandleFeedRequest(*receiver->feed, message.from,
-                                                  *request));
+                                                  *request, now_));
       const auto* update = std::get_if<FeedUpdate>(&content);
       if (update && update->changes.items.size() <= max_update_items)
         HandleUpdate(*receiver, message.from, *update, message.bytes);
--- a/tests/registry/store_sim.h
+++ b/tests/registry/store_sim.h
@@ -22,6 +22,11 @@
   void Delete(const std::string& key);
   /** Discards the history up to now. */
   void Compact();
+  /**
+   * Goes back to the state at `revision`, and begins a new era. What was
+   * written since is lost.
+   */
+  void Restore(uint64_t revision);
   /** Answers to a watch with more changes than this are unusable. */
   size_t max_usable_changes = SIZE_MAX;
   StoreAnswer Page(const std::string& after_key) const {
@@ -32,9 +37,15 @@
   /** Changes after `revision`; no items if there are none yet. */
   StoreAnswer Changes(uint64_t revision) const;
   uint64_t revision() const { return revision_; }
+  uint64_t era() const { return era_; }
   std::map<std::string, std::string> contents() const;
 
  private:
+  /** Gives the answer and its items the era. */
+  void SetEra(StoreAnswer& answer) const;
+  /** The items as they were at `revision`. */
+  std::map<std::string, StoreItem> ItemsAt(uint64_t revision) const;
+
   size_t page_size_;
   std::map<std::string, StoreItem> items_;
   std::deque<StoreItem> history_;
@@ -42,6 +53,7 @@
   std::vector<StoreItem> all_changes_;
   uint64_t history_after_ = 1;
   uint64_t revision_ = 1;
+  uint64_t era_ = 0;
 };
 
 /** How the store responds to one instance. */
--- a/tests/registry/value_patch_test.cc
+++ b/tests/registry/value_patch_test.cc
@@ -41,7 +41,7 @@
 /** Reads an answer of the store as an instance does. */
 void Read(Feed& feed, StoreAnswer answer) {
   if (feed.reader.phase == FeedReader::Phase::kIdle)
-    TickFeed(feed, {}, TimePoint(std::chrono::hours(answer.revision)));
+    TickFeed(feed, {}, TimePoint(std::chrono::hours(answer.revision.number)));
   AddPatches(feed, answer.items);
   FinishStoreRead(feed, {}, std::move(answer), TimePoint());
 }
@@ -49,7 +49,7 @@
 /** The update that an instance sends for a request, as it arrives. */
 FeedUpdate Answer(const Feed& feed, const FeedRequest& request) {
   const FeedActions actions =
-      HandleFeedRequest(feed, InstanceId("follower"), request);
+      HandleFeedRequest(feed, InstanceId("follower"), request, TimePoint());
   return std::get<FeedUpdate>(
       DecodePeerMessage(EncodePeerMessage(actions.messages.at(0).message)));
 }
--- a/tests/soak_fleet/soak_plan.cc
+++ b/tests/soak_fleet/soak_plan.cc
@@ -68,6 +68,7 @@
 constexpr uint64_t kOperatorSeriesSeed = 0x09e7a7;
 constexpr uint64_t kStoreSeriesSeed = 0x57a1e;
 constexpr uint64_t kColdSeriesSeed = 0xc01d;
+constexpr uint64_t kRestoreSeriesSeed = 0x2e5702e;
 constexpr int kMaxSeriesIntervalMs = 3000;
 constexpr int kMaxOperatorIntervalMs = 9000;
 
@@ -164,6 +165,29 @@
   return faults;
 }
 
+std::vector<SoakFault> PlanRestoreSeries(uint64_t seed, const SoakSize& size) {
+  constexpr int kMinAwayMs = 200;
+  constexpr int kAwayRangeMs = 1500;
+  constexpr int kMinAgeMs = 500;
+  constexpr int kAgeRangeMs = 7000;
+  constexpr int kMaxIntervalMs = 15000;
+  Random random(seed ^ kRestoreSeriesSeed);
+  std::vector<SoakFault> faults;
+  milliseconds at = kStartDelay + milliseconds(RandomBelow(random, 6000));
+  while (at < size.length - kEndMargin) {
+    SoakFault fault;
+    fault.kind = SoakFaultKind::kStoreRestore;
+    fault.at = at;
+    fault.duration =
+        milliseconds(kMinAwayMs + RandomBelow(random, kAwayRangeMs));
+    fault.copy_age = milliseconds(kMinAgeMs + RandomBelow(random, kAgeRangeMs));
+    faults.push_back(fault);
+    at += fault.duration +
+          milliseconds(500 + RandomBelow(random, kMaxIntervalMs));
+  }
+  return faults;
+}
+
 std::vector<SoakFault> PlanSingleFaults(uint64_t seed, const SoakSize& size) {
   Random random(seed);
   std::vector<SoakFault> faults;
@@ -224,6 +248,8 @@
       return "large versions";
     case SoakFaultKind::kServerCold:
       return "cold server";
+    case SoakFaultKind::kStoreRestore:
+      return "store comes back from an older copy";
   }
   return "";
 }
@@ -238,6 +264,8 @@
     faults.push_back(fault);
   for (const SoakFault& fault : PlanColdSeries(seed, size))
     faults.push_back(fault);
+  for (const SoakFault& fault : PlanRestoreSeries(seed, size))
+    faults.push_back(fault);
   for (SoakFault& fault : faults) {
     fault.duration =
         std::min(fault.duration, size.length - kEndMargin / 2 - fault.at);
@@ -259,6 +287,8 @@
     text += ", " + std::string(NameOf(fault.server_fault)) + " in " +
             std::to_string(fault.share_percent) + "%";
   }
+  if (fault.kind == SoakFaultKind::kStoreRestore)
+    text += ", " + std::to_string(fault.copy_age.count()) + " ms old";
   const bool is_link = fault.kind == SoakFaultKind::kCallerLink ||
                        fault.kind == SoakFaultKind::kStoreLink ||
                        fault.kind == SoakFaultKind::kServerLink;
--- a/tests/soak_fleet/soak_plan.h
+++ b/tests/soak_fleet/soak_plan.h
@@ -52,6 +52,8 @@
   /** Large versions in quick succession. */
   kLargeVersions,
   kServerCold,
+  /** The store comes back from an older copy. */
+  kStoreRestore,
 };
 
 const char* FaultName(SoakFaultKind kind);
@@ -68,6 +70,8 @@
   /** For kServerResponses. */
   ServerFaultKind server_fault = ServerFaultKind::kExtraResponse;
   int share_percent = 0;
+  /** For kStoreRestore. */
+  std::chrono::milliseconds copy_age{};
   /** Time from the start of the run. */
   std::chrono::milliseconds at{};
   std::chrono::milliseconds duration{};
@@ -76,7 +80,8 @@
 /**
  * Returns the faults of a run, ordered by start time: single faults, series of
  * faulty responses of several servers, series of signals and new versions,
- * trouble with what the store holds, and servers that turn cold. The seed
+ * trouble with what the store holds, servers that turn cold, and restorations
+ * of the store from older copies. The seed
  * determines all of them.
  */
 std::vector<SoakFault> PlanSoak(uint64_t seed, const SoakSize& size);
--- a/tests/soak_fleet/soak_run.cc
+++ b/tests/soak_fleet/soak_run.cc
@@ -32,6 +32,8 @@
 constexpr int kLargeVersions = 14;
 constexpr int kFillerRoutes = 3000;
 constexpr milliseconds kTick(20);
+// From the time when the store is to be back until it is.
+constexpr milliseconds kReturnMargin(100);
 
 TimePoint Now() {
   return std::chrono::steady_clock::now();
@@ -248,6 +250,7 @@
       return;  // UpdateServerFaults begins and ends it.
     case SoakFaultKind::kStoreMode:
     case SoakFaultKind::kStoreCompact:
+    case SoakFaultKind::kStoreRestore:
       active_.back().fault_periods = {
           BeginFaultPeriod(FaultPeriod::kAllInstances)};
       return BeginOnStore(fault);
@@ -332,6 +335,8 @@
 void SoakRun::BeginOnStore(const SoakFault& fault) {
   if (fault.kind == SoakFaultKind::kStoreCompact)
     fleet_.CompactStore();
+  else if (fault.kind == SoakFaultKind::kStoreRestore)
+    fleet_.RestoreStore(fault.duration, fault.copy_age);
   else
     fleet_.SetStoreMode(fault.mode);
 }
@@ -355,6 +360,9 @@
     case SoakFaultKind::kStoreMode:
     case SoakFaultKind::kStoreStale:
       return fleet_.SetStoreMode("serves");
+    case SoakFaultKind::kStoreRestore:
+      std::this_thread::sleep_for(kReturnMargin);
+      return fleet_.RepeatOperatorWrites();
     case SoakFaultKind::kEvacuate: {
       {
         OrderedLock lock(mutex_);
