Probe servers without load reports before they can be flooded

Cause: only a probe tells at once that a server has turned cold, and probes were requested by the placement by load alone. A service without load reports left it after its first probe, so its servers were never probed again.

Fix: such a server gets as many requests in a second without a probe as this instance may send while it is cold; the next one waits for a probe, if the budget allows one. Requests of the last second count against the limit of a cold server already, so the first second is within it, too. Probes of these servers wait behind requests: one that is not answered leaves the rate of a cold server, not none (ServerWithoutLoadReportsWorksWithoutProbes).

--- a/src/process/servers/cold_window.cc
+++ b/src/process/servers/cold_window.cc
@@ -74,6 +74,14 @@
   return std::max(window.until_by_probe, window.until_by_record);
 }
 
+int SentSinceProbe(const ColdWindow& window, TimePoint now) {
+  const TimePoint from =
+      std::max(window.probed_at.value_or(TimePoint()), now - kRateWindow);
+  const auto sent = std::count_if(window.sent.begin(), window.sent.end(),
+                                  [from](TimePoint at) { return at >= from; });
+  return static_cast<int>(sent);
+}
+
 bool IsCold(const ColdWindow& window, TimePoint now) {
   return now < ColdUntil(window);
 }
--- a/src/process/servers/cold_window.h
+++ b/src/process/servers/cold_window.h
@@ -45,6 +45,9 @@
 
 bool IsCold(const ColdWindow& window, TimePoint now);
 
+/** Requests of the last second that were sent after the latest probe. */
+int SentSinceProbe(const ColdWindow& window, TimePoint now);
+
 /** End of the current or latest cold phase. */
 TimePoint ColdUntil(const ColdWindow& window);
 
--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "process/servers/probe_requests.h"
+
 namespace mangodoor {
 namespace {
 
@@ -238,36 +240,12 @@
                      });
 }
 
-void RequestProbe(ServerPool& pool,
-                  ServiceEntry& service,
-                  ServerEntry& server,
-                  TimePoint now) {
-  server.probe_in_flight = true;
-  server.probe_sent_at = now;
-  server.probe_tokens -= 1;
-  TakeProbe(service.probe_credit);
-  ChosenServer probed = ToChosenServer(pool, server, now);
-  probed.health_path = service.health_path;
-  pool.pending_probes.push_back(std::move(probed));
-}
-
-/**
- * True if this instance knows only a few of the instances that are assumed to
- * run: it has just started, or is cut off from the others. Its share of the
- * probe budget is then far too large.
- */
-bool KnowsFewInstances(const ServerPool& pool) {
-  constexpr int kAssumedPerKnownInstance = 4;
-  return TotalInstances(pool.shares) * kAssumedPerKnownInstance <
-         pool.instance_count.count;
-}
-
 /** Requests a probe of one server that the waiting request may be sent to. */
 void RequestProbeFor(ServerPool& pool,
                      ServiceEntry& service,
                      const Waiter& waiter,
                      TimePoint now) {
-  if (KnowsFewInstances(pool) && !HasProbe(service.probe_credit))
+  if (!HasProbeCredit(pool, service))
     return;
   if (ServerEntry* local = FindServerToProbe(pool, service, waiter, false, now))
     return RequestProbe(pool, service, *local, now);
@@ -352,26 +330,6 @@
                 waiting.end());
 }
 
-void RefillProbeTokens(const ServerPool& pool,
-                       ServiceEntry& service,
-                       TimePoint now) {
-  constexpr double kMaxTokens = 20;
-  // An instance that knows few of the others has too large a share, and must
-  // not save it up until it knows them.
-  constexpr double kMaxTokensOfFewInstances = 1;
-  const double max_tokens =
-      KnowsFewInstances(pool) ? kMaxTokensOfFewInstances : kMaxTokens;
-  for (ServerEntry* server : service.servers) {
-    const double per_s =
-        pool.probes_per_s *
-        ProbeShare(pool.shares, server->data_centre, server->own_data_centre);
-    const double elapsed = Seconds(now - server->probe_tokens_refilled_at);
-    server->probe_tokens_refilled_at = now;
-    server->probe_tokens =
-        std::min(max_tokens, server->probe_tokens + elapsed * per_s);
-  }
-}
-
 }  // namespace
 
 std::optional<ErrorKind> EnqueueForPlacement(ServerPool& pool,
--- a/src/process/servers/server_choice.cc
+++ b/src/process/servers/server_choice.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "process/servers/placement.h"
+#include "process/servers/probe_requests.h"
 #include "process/servers/server_pool.h"
 
 namespace mangodoor {
@@ -32,13 +33,25 @@
   ServerEntry* trial = nullptr;
 };
 
-CandidateGroups ClassifyServers(const ServerPool& pool,
+/** True if the request has to wait for a probe, which is then requested. */
+bool AwaitsColdCheck(ServerPool& pool,
+                     ServiceEntry& service,
+                     ServerEntry& server,
+                     TimePoint now) {
+  if (!server.discovered || !NeedsColdCheck(pool, service, server, now))
+    return false;
+  RequestColdCheck(pool, service, server, now);
+  return true;
+}
+
+CandidateGroups ClassifyServers(ServerPool& pool,
                                 ServiceEntry& service,
                                 const ServerRequirements& requirements,
                                 TimePoint now) {
   CandidateGroups groups;
   for (ServerEntry* server : service.servers) {
-    if (!IsPermitted(pool, service, *server, requirements, now))
+    if (!IsPermitted(pool, service, *server, requirements, now) ||
+        AwaitsColdCheck(pool, service, *server, now))
       continue;
     if (IsEjected(server->ejection)) {
       if (MayRunTrial(server->ejection, server->outstanding, now))
@@ -198,6 +211,27 @@
   return reply;
 }
 
+ServerReply AcquireFromQueue(ServerPool& pool,
+                             ServiceEntry& service,
+                             Waiter waiter,
+                             TimePoint now) {
+  const ServerRequirements& requirements = waiter.requirements;
+  if (requirements.deadline <= now + ExpectedWait(service))
+    return RefusedReply(ErrorKind::kDeadlineExceeded);
+  CountRequest(service.probe_credit, now);
+  // A new request never overtakes waiting requests.
+  ServerEntry* server =
+      service.queue.size == 0
+          ? ReserveServer(pool, service, requirements, now, waiter.random)
+          : nullptr;
+  if (!server)
+    return Enqueue(pool, service, std::move(waiter));
+  ServerReply reply;
+  reply.state = ServerReply::State::kChosen;
+  reply.chosen = ToChosenServer(pool, *server, now);
+  return reply;
+}
+
 }  // namespace
 
 ServerEntry* ReserveServer(ServerPool& pool,
@@ -205,6 +239,8 @@
                            const ServerRequirements& requirements,
                            TimePoint now,
                            uint64_t random) {
+  if (service.discovered)
+    RefillProbeTokens(pool, service, now);
   const CandidateGroups groups =
       ClassifyServers(pool, service, requirements, now);
   ServerEntry* server = nullptr;
@@ -243,23 +279,13 @@
   ServiceEntry* service = FindService(pool, requirements.service);
   if (!service || !HasUsableServer(*service, requirements, now))
     return RefusedReply(ErrorKind::kNoServer);
+  Waiter waiter{++pool.last_ticket, requirements, random, std::move(done)};
   if (UsesPlacement(*service))
-    return AcquireByPlacement(
-        pool, *service,
-        {++pool.last_ticket, requirements, random, std::move(done)}, now);
-  if (requirements.deadline <= now + ExpectedWait(*service))
-    return RefusedReply(ErrorKind::kDeadlineExceeded);
-  // A new request never overtakes waiting requests.
-  ServerEntry* server =
-      service->queue.size == 0
-          ? ReserveServer(pool, *service, requirements, now, random)
-          : nullptr;
-  if (!server)
-    return Enqueue(pool, *service,
-                   {++pool.last_ticket, requirements, random, std::move(done)});
-  ServerReply reply;
-  reply.state = ServerReply::State::kChosen;
-  reply.chosen = ToChosenServer(pool, *server, now);
+    return AcquireByPlacement(pool, *service, std::move(waiter), now);
+  ServerReply reply = AcquireFromQueue(pool, *service, std::move(waiter), now);
+  // Probes of servers that can have turned cold.
+  if (service->discovered)
+    TakeDecisions(pool, reply.actions);
   return reply;
 }
 
--- a/tests/routing/discovered_servers_fixture.h
+++ b/tests/routing/discovered_servers_fixture.h
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -107,6 +108,9 @@
                              3, 1}
                 : server_load->second;
       }
+      const auto cold = cold_until_.find(probed.server);
+      if (cold != cold_until_.end())
+        result.cold_remaining = std::max(Duration::zero(), cold->second - now_);
       Run(HandleProbeResult(pool_, probed.server, result, now_));
     }
   }
@@ -131,6 +135,8 @@
   /** Reported loads; servers without one report this instance's requests. */
   std::map<BackendServerId, ServerLoad> reported_loads_;
   std::set<BackendServerId> unresponsive_;
+  /** When the servers that tell it are no longer cold. */
+  std::map<BackendServerId, TimePoint> cold_until_;
 };
 
 }  // namespace mangodoor
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -160,6 +160,58 @@
     EXPECT_FALSE(Choose().empty());
 }
 
+// Guards against review case 8: a server that does not report its load turned
+// cold again, and got 60 requests in one second, 23 allowed, until its record
+// said so.
+TEST_F(DiscoveredServersTest, ColdServerWithoutLoadReportsIsNotFlooded) {
+  reports_load_ = false;
+  const BackendServerId server("i1");
+  Apply({Record(1, here)});
+  pool_.probes_per_s = 60;
+  cold_until_[server] = now_;
+  std::vector<TimePoint> sent_while_cold;
+  for (int i = 0; i < 600; ++i) {
+    now_ += milliseconds(1000 / 60);
+    if (i == 300)
+      cold_until_[server] = now_ + seconds(3);
+    if (Choose().empty())
+      continue;
+    if (now_ < cold_until_[server])
+      sent_while_cold.push_back(now_);
+    Answer(server);
+  }
+  // A third of 12 a second is the share of this instance.
+  EXPECT_GE(sent_while_cold.size(), 9U);
+  size_t first = 0;
+  for (size_t last = 0; last < sent_while_cold.size(); ++last) {
+    while (sent_while_cold[last] - sent_while_cold[first] >= seconds(1))
+      ++first;
+    EXPECT_LE(last - first + 1, 4U);
+  }
+  // This instance's share of 60 probes a second for 10 s, and saved ones.
+  EXPECT_LE(probes_, 60 * 10 / 3 + 21);
+}
+
+// Guards against a busy server that is taken for cold because its probes wait
+// behind requests, as those of servers without load reports do.
+TEST_F(DiscoveredServersTest, ServerWithoutLoadReportsWorksWithoutProbes) {
+  reports_load_ = false;
+  Apply({Record(1, here)});
+  Choose();
+  Answer(BackendServerId("i1"));
+  unresponsive_ = {BackendServerId("i1")};
+  int served = 0;
+  for (int i = 0; i < 1000; ++i) {
+    now_ += milliseconds(10);
+    if (Choose().empty())
+      continue;
+    ++served;
+    Answer(BackendServerId("i1"));
+  }
+  // Its share of the requests to a cold server, for 10 s.
+  EXPECT_GE(served, 4 * 9);
+}
+
 // Guards against exceeding the limit on probes of a server by all instances.
 TEST_F(DiscoveredServersTest, ProbesStayWithinTheBudget) {
   pool_.probes_per_s = 30;
