Send waiting requests when their service turns out not to report load

Callers: the first requests for a service whose servers do not report their load could wait until their deadline, and got no answer from a server.

Cause: they wait for a load report in the queue for placement. The first probe shows that there is none, and from then on new requests go another way, but those in the queue stayed.

Evidence: DiscoveredServersTest.WaitingRequestsAreSentWithoutLoadReports, 0 of 3 sent, failed before.

Fix: once a service does not use placement, what waits there moves to the queue that it uses.

--- a/src/process/servers/server_choice.cc
+++ b/src/process/servers/server_choice.cc
@@ -174,6 +174,17 @@
     AddDecision(pool, waiter, ErrorKind::kNoServer);
 }
 
+// A probe has shown that the servers do not report their load, for which these
+// requests wait.
+void MoveToQueue(ServerPool& pool, ServiceEntry& service) {
+  for (Waiter& waiter : std::exchange(service.placement_queue, {})) {
+    if (service.queue.size >= service.queue_limit)
+      AddDecision(pool, waiter, ErrorKind::kQueueFull);
+    else
+      Enqueue(pool, service, std::move(waiter));
+  }
+}
+
 /** Removes and returns the decision on the ticket, if there is one already. */
 std::optional<std::variant<ChosenServer, ErrorKind>> TakeDecision(
     ServerPool& pool,
@@ -256,7 +267,10 @@
 }
 
 void ServeQueue(ServerPool& pool, ServiceEntry& service, TimePoint now) {
-  PlaceWaitingRequests(pool, service, now);
+  if (UsesPlacement(service))
+    PlaceWaitingRequests(pool, service, now);
+  else
+    MoveToQueue(pool, service);
   if (service.queue.size == 0)
     return;
   EndUnservableWaits(pool, service, now);
--- a/tests/routing/discovered_servers_test.cc
+++ b/tests/routing/discovered_servers_test.cc
@@ -192,6 +192,29 @@
   EXPECT_LE(probes_, 60 * 10 / 3 + 21);
 }
 
+// Guards against requests that wait for a load report until their deadline,
+// although the servers of their service turn out not to report any.
+TEST_F(DiscoveredServersTest, WaitingRequestsAreSentWithoutLoadReports) {
+  reports_load_ = false;
+  Apply({Record(1, here)});
+  ServerRequirements requirements;
+  requirements.service = work_service;
+  requirements.deadline = now_ + seconds(1);
+  int chosen = 0;
+  std::vector<ServerReply> replies;
+  for (uint64_t i = 0; i < 3; ++i) {
+    replies.push_back(AcquireServer(
+        pool_, requirements, now_, i,
+        [&chosen](const std::variant<ChosenServer, ErrorKind>& decision) {
+          chosen += std::holds_alternative<ChosenServer>(decision) ? 1 : 0;
+        }));
+    EXPECT_EQ(replies.back().state, ServerReply::State::kWaiting);
+  }
+  for (const ServerReply& reply : replies)
+    Run(reply.actions);
+  EXPECT_EQ(chosen, 3);
+}
+
 // Guards against a busy server that is taken for cold because its probes wait
 // behind requests, as those of servers without load reports do.
 TEST_F(DiscoveredServersTest, ServerWithoutLoadReportsWorksWithoutProbes) {
