Check the store's revision beside the reader of a data centre

Callers: a machine is cut off from the store and the other data centres.

Cause: one instance of each data centre reads, and the others rely on it while its copy was current in the last 2.5 s. Its watch ends after 2.8 s, and it is the leader that the other data centres announce changes to.

Fix: the second hub reads the revision of the store every 1.1 s, by a read that may be stale and costs a tenth, and if its copy lacks changes for 300 ms, it reads them once and pushes them. Ruled out by their cost in calls: shorter watches and two readers in each data centre; by their time: the silence of the other data centres.

--- a/src/process/io/store_feed.cc
+++ b/src/process/io/store_feed.cc
@@ -98,10 +98,16 @@
   const auto done = [this, started](StoreAnswer answer) {
     FinishRead(std::move(answer), started);
   };
-  if (read.kind == ReadStart::Kind::kPage)
-    store_->ReadPage(read.after_key, read.consistency, done);
-  else
-    store_->Watch(read.after_revision, read.wait, done);
+  switch (read.kind) {
+    case ReadStart::Kind::kNone:
+      break;
+    case ReadStart::Kind::kPage:
+      return store_->ReadPage(read.after_key, read.consistency, done);
+    case ReadStart::Kind::kWatch:
+      return store_->Watch(read.after_revision, read.wait, done);
+    case ReadStart::Kind::kRevision:
+      return store_->ReadRevision(done);
+  }
 }
 
 void StoreFeed::FinishRead(StoreAnswer answer, TimePoint started) {
--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -296,12 +296,16 @@
           now, actions);
 }
 
-/** Sets `behind_since` if a peer is ahead of this copy, or clears it. */
+/** Sets or clears since when a peer, or the store, is ahead of this copy. */
 void UpdateBehindSince(Feed& feed, TimePoint now) {
   if (feed.highest_peer_revision <= feed.replica.revision)
     feed.behind_since.reset();
   else if (!feed.behind_since)
     feed.behind_since = now;
+  if (feed.checked_revision <= feed.replica.revision)
+    feed.store_ahead_since.reset();
+  else if (!feed.store_ahead_since)
+    feed.store_ahead_since = now;
 }
 
 void AddCarriedByPeer(Feed& feed,
@@ -328,6 +332,7 @@
   inputs.lower_rank_reads = LowerRankReads(feed, topology, now);
   inputs.revision = feed.replica.revision;
   inputs.behind_since = feed.behind_since;
+  inputs.store_ahead_since = feed.store_ahead_since;
   actions.behind_for = BehindFor(feed, now);
   actions.changed_items = TakeExpired(feed.carried, feed.replica, now);
   actions.read = PlanRead(feed.reader, inputs);
@@ -344,7 +349,10 @@
   const StoreAnswer::Kind kind = KindOf(feed, answer);
   const StoreRevision before = feed.replica.revision;
   actions.behind_for = BehindFor(feed, now);
-  if (kind == StoreAnswer::Kind::kItems) {
+  if (feed.reader.phase == FeedReader::Phase::kChecking) {
+    if (answer.kind == StoreAnswer::Kind::kItems)
+      feed.checked_revision = answer.revision;
+  } else if (kind == StoreAnswer::Kind::kItems) {
     if (feed.reader.phase == FeedReader::Phase::kReloading) {
       if (!AddPage(feed.reader.reload, std::move(answer))) {
         actions.read = NextPage(feed.reader);
--- a/src/process/registry/feed.h
+++ b/src/process/registry/feed.h
@@ -66,6 +66,10 @@
    * unset while it is not behind.
    */
   std::optional<TimePoint> behind_since;
+  /** The highest revision of the store that a check has shown. */
+  StoreRevision checked_revision;
+  /** When a check showed that this copy lacks changes; unset if it has all. */
+  std::optional<TimePoint> store_ahead_since;
   /** Items read that could not be used. Needs no lock. */
   std::atomic<uint64_t> entries_refused{0};
 };
--- a/src/process/registry/feed_reader.cc
+++ b/src/process/registry/feed_reader.cc
@@ -26,6 +26,15 @@
 // centre can.
 constexpr Duration kNonHubTakeOverDelay = std::chrono::milliseconds(2500);
 
+// A reader that is cut off from the store and from other data centres does not
+// notice it before its watch ends, and the changes that the others lack are in
+// force in time only if one of them looks for itself.
+constexpr Duration kCheckInterval = std::chrono::milliseconds(1100);
+constexpr size_t kCheckingRank = 1;
+// The reader gets a change within milliseconds, and pushes it at once, unless
+// it waits to read several of them together.
+constexpr Duration kAheadReadDelay = std::chrono::milliseconds(300);
+
 // Peers answer a request for changes within milliseconds. A replica that stays
 // behind longer does not get them, for example because they are larger than a
 // message may be. The same request would get no answer either.
@@ -46,7 +55,11 @@
   const bool peers_do_not_help =
       inputs.behind_since &&
       inputs.now - *inputs.behind_since >= kBehindReadDelay;
-  if (inputs.revision == 0 || peers_do_not_help)
+  const bool reader_does_not_help =
+      inputs.store_ahead_since &&
+      inputs.now - *inputs.store_ahead_since >= kAheadReadDelay;
+  if (inputs.revision == StoreRevision() || peers_do_not_help ||
+      reader_does_not_help)
     return true;
   return reader.lower_rank_idle_since &&
          inputs.now - *reader.lower_rank_idle_since >=
@@ -82,6 +95,20 @@
   return start;
 }
 
+bool IsCheckDue(const FeedReader& reader, const ReaderInputs& inputs) {
+  return inputs.rank == kCheckingRank && inputs.lower_rank_reads &&
+         reader.failures == 0 &&
+         inputs.now - reader.checked_at >= kCheckInterval;
+}
+
+ReadStart StartCheck(FeedReader& reader, const ReaderInputs& inputs) {
+  reader.phase = FeedReader::Phase::kChecking;
+  reader.checked_at = inputs.now;
+  ReadStart start;
+  start.kind = ReadStart::Kind::kRevision;
+  return start;
+}
+
 }  // namespace
 
 ReadStart PlanRead(FeedReader& reader, const ReaderInputs& inputs) {
@@ -91,7 +118,11 @@
   // An instance that stops reading must not report to peers that it reads.
   if (!wanted && reader.failures == 0)
     reader.not_before.reset();
-  if (!wanted || (reader.not_before && inputs.now < *reader.not_before))
+  if (!wanted)
+    return IsCheckDue(reader, inputs) ? StartCheck(reader, inputs)
+                                      : ReadStart();
+  reader.checked_at = inputs.now;
+  if (reader.not_before && inputs.now < *reader.not_before)
     return {};
   reader.started = inputs.now;
   reader.not_before.reset();
@@ -113,7 +144,11 @@
                 bool had_changes,
                 TimePoint now) {
   const bool was_reload = reader.phase == FeedReader::Phase::kReloading;
+  const bool was_check = reader.phase == FeedReader::Phase::kChecking;
   reader.phase = FeedReader::Phase::kIdle;
+  // A check that fails says nothing: the reader reads.
+  if (was_check)
+    return;
   if (kind == StoreAnswer::Kind::kItems) {
     reader.failures = 0;
     if (was_reload) {
@@ -149,8 +184,10 @@
 }
 
 bool IsReading(const FeedReader& reader) {
-  return reader.failures == 0 && (reader.phase != FeedReader::Phase::kIdle ||
-                                  reader.not_before.has_value());
+  return reader.failures == 0 &&
+         (reader.phase == FeedReader::Phase::kReloading ||
+          reader.phase == FeedReader::Phase::kWatching ||
+          reader.not_before.has_value());
 }
 
 }  // namespace mangodoor
--- a/src/process/registry/feed_reader.h
+++ b/src/process/registry/feed_reader.h
@@ -12,8 +12,16 @@
 
 /** State of this instance's reads of the platform's store, one at a time. */
 struct FeedReader {
-  enum class Phase { kIdle, kReloading, kWatching };
+  enum class Phase {
+    kIdle,
+    kReloading,
+    kWatching,
+    /** Reads only the revision, while another instance reads the changes. */
+    kChecking,
+  };
   Phase phase = Phase::kIdle;
+  /** When the revision was last checked, or this instance last read. */
+  TimePoint checked_at{};
   /** When the latest read was started. */
   TimePoint started{};
   /** The replica's revision when the latest watch was started. */
@@ -56,11 +64,16 @@
    * has.
    */
   std::optional<TimePoint> behind_since;
+  /**
+   * Since when a check has shown that the store has changes that the replica
+   * lacks; unset if none has.
+   */
+  std::optional<TimePoint> store_ahead_since;
 };
 
 /** The read to start now. */
 struct ReadStart {
-  enum class Kind { kNone, kPage, kWatch };
+  enum class Kind { kNone, kPage, kWatch, kRevision };
   Kind kind = Kind::kNone;
   std::string after_key;
   ReadConsistency consistency = ReadConsistency::kCurrent;
--- a/src/process/registry/platform_store.h
+++ b/src/process/registry/platform_store.h
@@ -78,6 +78,12 @@
                         ReadConsistency consistency,
                         Callback done) = 0;
 
+  /**
+   * Reads the revision of the store, which can be stale, at little cost. The
+   * items of the answer have no meaning. `done` is called as for ReadPage.
+   */
+  virtual void ReadRevision(Callback done) = 0;
+
   /**
    * Waits up to `wait` for changes after `after_revision`; the items are empty
    * if there were none. `done` is called as for ReadPage.
--- a/tests/platform/slow_document_test.cc
+++ b/tests/platform/slow_document_test.cc
@@ -28,6 +28,7 @@
               ReadPage,
               (const std::string&, ReadConsistency, Callback),
               (override));
+  MOCK_METHOD(void, ReadRevision, (Callback), (override));
   MOCK_METHOD(void,
               Watch,
               (uint64_t, std::chrono::milliseconds, Callback),
