Count instances that are out of sight when limits are divided

Cause: limits are divided by the instances known to run. 30 s after losing the others, or without having found any, an instance counted only what it saw, so each part of the fleet used the whole rate.

Fix: the number is the highest seen in four hours, less planned stops, which are known from the state of a member before it was gone. Replaced instances do not count twice. An instance that has found no other goes on assuming 16. Ruled out: longer memory of single members (replacements count twice), and the whole rate for a majority (1.21 of it and more together with the other side).

The test and its bound are unchanged.

--- a/src/process/fleet/capacity_grant.cc
+++ b/src/process/fleet/capacity_grant.cc
@@ -18,16 +18,6 @@
 
 // The functions in this namespace are called with the table locked.
 
-/** True if this instance has ever known others, or has no seed but itself. */
-bool HasJoined(const FleetTable& table) {
-  const MemberList& member_list = table.member_list;
-  return table.has_joined || !member_list.members.empty() ||
-         std::all_of(table.seeds.begin(), table.seeds.end(),
-                     [&member_list](const Endpoint& seed) {
-                       return seed == member_list.self.peer_endpoint;
-                     });
-}
-
 /** True if this instance runs for long enough to have found the others. */
 bool IsSettled(const FleetTable& table, TimePoint now) {
   return table.first_tick && now - *table.first_tick >= kJoinTime;
@@ -128,7 +118,6 @@
 
 void RenewGrant(FleetTable& table, const GrantInputs& inputs, TimePoint now) {
   OrderedLock lock(table.mutex);
-  table.has_joined = HasJoined(table);
   if (MayOverlap(table, now) || !table.has_joined)
     return;
   table.held_grant = HeldGrant{MakeGrant(table, inputs, now),
--- a/src/process/fleet/fleet_table.cc
+++ b/src/process/fleet/fleet_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "process/fleet/instance_count.h"
 #include "process/fleet/link_plan.h"
 
 namespace mangodoor {
@@ -92,6 +93,16 @@
   return view;
 }
 
+/** True if this instance has ever known others, or has no seed but itself. */
+bool HasJoined(const FleetTable& table) {
+  const MemberList& member_list = table.member_list;
+  return table.has_joined || !member_list.members.empty() ||
+         std::all_of(table.seeds.begin(), table.seeds.end(),
+                     [&member_list](const Endpoint& seed) {
+                       return seed == member_list.self.peer_endpoint;
+                     });
+}
+
 }  // namespace
 
 FleetActions TickFleet(FleetTable& table, TimePoint now) {
@@ -104,6 +115,10 @@
   FleetActions actions;
   actions.gone = DeclareGone(table.member_list, {}, now);
   ForgetGone(table.member_list, kGoneRetention, now);
+  table.has_joined = HasJoined(table);
+  UpdateFleetSize(table.size,
+                  static_cast<int>(LiveMembers(table.member_list).size()),
+                  table.member_list.left, now);
   SendUpdates(table, actions);
   FindDueHeartbeats(table, now, actions);
   actions.links = PlanLinks(table.member_list, table.seeds, now);
@@ -189,6 +204,12 @@
   return table.view;
 }
 
+int InstancesSharingLimits(const FleetTable& table) {
+  OrderedLock lock(table.mutex);
+  return table.has_joined ? table.size.count
+                          : std::max(table.size.count, kAssumedInstances);
+}
+
 double FleetRequestsPerS(const FleetTable& table, TimePoint now) {
   OrderedLock lock(table.mutex);
   return FleetRequestsPerS(table.request_rates, now);
--- a/src/process/fleet/fleet_table.h
+++ b/src/process/fleet/fleet_table.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "process/fleet/fleet_size.h"
 #include "process/fleet/member_list.h"
 #include "process/fleet/request_rates.h"
 #include "process/fleet/update_scope.h"
@@ -70,6 +71,7 @@
   mutable FleetViewPtr view;
   /** `member_list.last_change` and `link_changes` when `view` was made. */
   mutable std::pair<uint64_t, uint64_t> view_changes;
+  FleetSize size;
   RequestRates request_rates;
   /** The latest grant, made by this instance or received; see capacity_grant.h.
    */
@@ -139,6 +141,12 @@
  */
 FleetViewPtr ViewFleet(const FleetTable& table);
 
+/**
+ * Number of instances among which the limits of the fleet are divided: at least
+ * kAssumedInstances as long as this instance has not found any other.
+ */
+int InstancesSharingLimits(const FleetTable& table);
+
 /** Requests a second in the whole fleet, as far as this instance knows. */
 double FleetRequestsPerS(const FleetTable& table, TimePoint now);
 
--- a/src/process/fleet/member_list.cc
+++ b/src/process/fleet/member_list.cc
@@ -30,10 +30,19 @@
                    entry.last_heard.value_or(TimePoint())});
 }
 
+/** Counts a member that was leaving, if it is gone now. */
+void CountIfLeft(MemberList& member_list,
+                 const Member& before,
+                 MemberState state) {
+  if (before.state == MemberState::kLeaving && state == MemberState::kGone)
+    ++member_list.left;
+}
+
 void MarkGone(MemberList& member_list,
               MemberEntry& entry,
               std::vector<InstanceId>& gone,
               TimePoint now) {
+  CountIfLeft(member_list, entry.member, MemberState::kGone);
   entry.member.state = MemberState::kGone;
   entry.change = ++member_list.last_change;
   entry.changed_at = now;
@@ -131,6 +140,7 @@
       !Supersedes(update, known->second.member))
     return false;
   MemberEntry& entry = member_list.members[update.id];
+  CountIfLeft(member_list, entry.member, update.state);
   const bool restarted = entry.member.incarnation != update.incarnation;
   entry.member = update;
   entry.change = ++member_list.last_change;
--- a/src/process/fleet/member_list.h
+++ b/src/process/fleet/member_list.h
@@ -34,6 +34,8 @@
   uint64_t own_change = 0;
   /** Silence before this time is ignored; set again after a process pause. */
   TimePoint watching_since{};
+  /** Members that were known to be leaving before they were gone. */
+  uint64_t left = 0;
   /** When this instance became a hub; unset if it is not one. */
   std::optional<TimePoint> hub_since;
   /** When this instance became the leader; unset if it is not. */
--- a/src/process/io/fleet_process.cc
+++ b/src/process/io/fleet_process.cc
@@ -413,7 +413,7 @@
   for (const OutgoingMessage& outgoing : actions.messages)
     peers_.Send(outgoing.to, outgoing.message);
   const FleetViewPtr view = ViewFleet(fleet_);
-  const int instance_count = static_cast<int>(view->live.size());
+  const int instance_count = InstancesSharingLimits(fleet_);
   {
     OrderedLock lock(tables_.usage.mutex);
     RecordInstanceCount(tables_.usage.limiter.instances, instance_count, now);
--- a/tests/limits/usage_sim.cc
+++ b/tests/limits/usage_sim.cc
@@ -73,11 +73,12 @@
 void UsageSim::Restart(int instance) {
   Instance& one = instances_.at(static_cast<size_t>(instance));
   one.limiter = UsageLimiter();
+  one.has_joined = false;
   Adopt(one);
 }
 
 int UsageSim::KnownTo(const Instance& instance) const {
-  return instance.cut ? 1 : size();
+  return instance.cut && !instance.has_joined ? kAssumedInstances : size();
 }
 
 /** An instance that is cut off is its own leader. */
@@ -174,6 +175,7 @@
   while (now_ < end) {
     now_ += kTickInterval;
     for (Instance& instance : instances_) {
+      instance.has_joined = instance.has_joined || !instance.cut;
       RecordInstanceCount(instance.limiter.instances, KnownTo(instance), now_);
       SetLeader(instance.limiter, &LeaderOf(instance) == &instance, now_);
       OfferRequests(instance);
--- a/tests/limits/usage_sim.h
+++ b/tests/limits/usage_sim.h
@@ -43,10 +43,12 @@
     int data_centre = 0;
     double demand_per_s = 0;
     bool cut = false;
+    /** True once it has known the others; see FleetSize. */
+    bool has_joined = false;
   };
 
   void Adopt(Instance& instance);
-  /** How many instances it knows to run. */
+  /** Among how many instances it divides the rate; see FleetSize. */
   int KnownTo(const Instance& instance) const;
   Instance& LeaderOf(Instance& instance);
   bool AskLeader(Instance& instance);
--- a/tests/members/fleet_sim.cc
+++ b/tests/members/fleet_sim.cc
@@ -292,7 +292,7 @@
   }
   const FleetViewPtr view = ViewFleet(*instance.table);
   RecordInstanceCount(instance.usage.instances,
-                      static_cast<int>(view->live.size()), now_);
+                      InstancesSharingLimits(*instance.table), now_);
   SetLeader(instance.usage, view->rank == 0, now_);
   SendHeartbeats(id, instance, actions.heartbeats);
 }
