Save up only the retries that the budget of the fleet has left

Callers: none have complained; a service that fails could get 580 retries beyond the ratio in 10 s from 116 instances, 186 allowed, and servers that recover would get them all at once.

Cause: an instance could save up four retries from its requests, whatever their rate. When a service fails, all instances use what they saved in the same window, in which the requests that it came from no longer count.

Evidence: RetryTableTest.SavedRetriesOfAllInstancesStayWithinTheSlack, known red.

Fix: instances use 0.85 of the policy, so what they save up together may come to the other 0.15: each saves up that part of its requests of about one window and of its slack, four at most, and one in any case, so that rare requests can be repeated at all.

--- a/src/process/servers/retry_table.cc
+++ b/src/process/servers/retry_table.cc
@@ -1,6 +1,7 @@
 #include "process/servers/retry_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mangodoor {
 namespace {
@@ -14,7 +15,7 @@
 // window, and an instance's requests and retries can fall into different
 // windows.
 constexpr double kUsedFraction = 0.85;
-// Retries that requests can save up.
+// Retries that requests can save up at most.
 constexpr double kMaxSavedRetries = 4;
 
 /** The budget at `now`: counts older than the previous second are dropped. */
@@ -30,6 +31,28 @@
   return budget;
 }
 
+double RecentRequests(const RetryShare& share,
+                      const RetryPolicy& policy,
+                      TimePoint now) {
+  return share.recent_requests *
+         std::exp(-Seconds(now - share.requests_at) / Seconds(policy.window));
+}
+
+// When a service fails, all instances use what they have saved up in the same
+// window, in which its requests are not counted any more. Together it must fit
+// into the part of the policy that is not used otherwise. Each instance may
+// save up one retry, whatever its part.
+double MaxSavedFromRequests(const RetryShare& share,
+                            const RetryPolicy& policy,
+                            const SlackDivision& division,
+                            TimePoint now) {
+  const double unused =
+      (1 - kUsedFraction) * (policy.ratio * RecentRequests(share, policy, now) +
+                             policy.fleet_slack / division.instances.count);
+  return std::clamp(unused, std::max(0.0, 1 - share.from_slack),
+                    kMaxSavedRetries);
+}
+
 }  // namespace
 
 void CountRequest(RetryBudget& budget, TimePoint now) {
@@ -50,7 +73,9 @@
   ++budget.retries;
 }
 
-void CountRequest(RetryShare& share, const RetryPolicy& policy) {
+void CountRequest(RetryShare& share, const RetryPolicy& policy, TimePoint now) {
+  share.recent_requests = RecentRequests(share, policy, now) + 1;
+  share.requests_at = now;
   share.from_requests += policy.ratio * kUsedFraction;
 }
 
@@ -66,8 +91,9 @@
         slack / 2 * (Seconds(now - from) / Seconds(policy.window));
     share.slack_added_until = now;
   }
-  share.from_requests = std::min(share.from_requests, kMaxSavedRetries);
   share.from_slack = std::min(share.from_slack, std::max(1.0, slack / 2));
+  share.from_requests = std::min(
+      share.from_requests, MaxSavedFromRequests(share, policy, division, now));
   return share.from_requests + share.from_slack >= 1;
 }
 
@@ -82,7 +108,7 @@
 void BeginRequest(RetryTable& table, const ServiceId& service, TimePoint now) {
   OrderedLock lock(table.mutex);
   if (table.policy)
-    CountRequest(table.shares[service], *table.policy);
+    CountRequest(table.shares[service], *table.policy, now);
   else
     CountRequest(table.budget, now);
 }
--- a/src/process/servers/retry_table.h
+++ b/src/process/servers/retry_table.h
@@ -41,6 +41,9 @@
  * as much, or one retry, can be saved up.
  */
 struct RetryShare {
+  /** Requests of about the last window, of which older ones count less. */
+  double recent_requests = 0;
+  TimePoint requests_at{};
   /** Retries that requests have added. */
   double from_requests = 0;
   /** Retries that the slack has added. */
@@ -55,7 +58,7 @@
   TimePoint from = TimePoint::max();
 };
 
-void CountRequest(RetryShare& share, const RetryPolicy& policy);
+void CountRequest(RetryShare& share, const RetryPolicy& policy, TimePoint now);
 bool MayRetry(RetryShare& share,
               const RetryPolicy& policy,
               const SlackDivision& division,
--- a/tests/routing/retry_table_test.cc
+++ b/tests/routing/retry_table_test.cc
@@ -10,6 +10,7 @@
 namespace mangodoor {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const ServiceId work_service("work");
@@ -157,5 +158,32 @@
   EXPECT_TRUE(TakeRetry(table, work_service, kStart + seconds(30)));
 }
 
+// Guards against the same fault at other rates of requests.
+TEST(RetryTableTest, SavedRetriesStayWithinTheSlackAtEveryRate) {
+  for (const int requests : {2, 3, 5, 10, 30}) {
+    RetryFleet fleet;
+    fleet.RunCalmFor(seconds(120), requests);
+    fleet.RunFor(seconds(10), kInstances, requests);
+    EXPECT_LE(fleet.max_beyond_ratio(), 186) << requests;
+  }
+}
+
+// Guards against a busy instance that cannot repeat a group of requests which
+// fail at the same moment, with one server.
+TEST(RetryTableTest, BusyInstanceMayRepeatAGroupOfRequests) {
+  RetryTable table;
+  table.policy = RetryPolicy{0.2, seconds(10), 58};
+  TimePoint now = kStart;
+  for (int i = 0; i < 600; ++i) {
+    now += milliseconds(100);
+    SetInstanceCount(table, 14, now);
+    BeginRequest(table, work_service, now);
+  }
+  int retries = 0;
+  while (TakeRetry(table, work_service, now))
+    ++retries;
+  EXPECT_GE(retries, 5);
+}
+
 }  // namespace
 }  // namespace mangodoor
