--- a/src/process/registry/feed.cc
+++ b/src/process/registry/feed.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "process/registry/feed_restoration.h"
+
 namespace mangodoor {
 namespace {
 
@@ -112,12 +114,6 @@
   return HubsSharePushes(topology) && IsInOwnShare(topology, rank);
 }
 
-/** Adds what this instance carries, if it can know that. */
-void AddCarriedTo(const Feed& feed, TimePoint now, FeedUpdate& update) {
-  if (feed.carried_era == feed.replica.revision.era)
-    update.carried = NoticesOf(feed.carried, now);
-}
-
 /** The update for a peer that has all changes up to `revision`. */
 FeedUpdate MakeUpdate(const Feed& feed,
                       const StoreRevision& revision,
@@ -134,93 +130,6 @@
   return update;
 }
 
-/** True if this state is that of a store that was restored since the replica.
- */
-bool IsRestored(const StoreReplica& replica, const StoreRevision& state) {
-  return replica.revision != StoreRevision() &&
-         state.era > replica.revision.era;
-}
-
-/** The items that are newer than the revision. */
-std::vector<StoreItem> ItemsAfter(const std::vector<StoreItem>& items,
-                                  const StoreRevision& revision) {
-  std::vector<StoreItem> newer;
-  for (const StoreItem& item : items) {
-    if (item.revision > revision)
-      newer.push_back(item);
-  }
-  return newer;
-}
-
-/**
- * Applies `items` by `apply`, which returns those that are new to the replica
- * and brings it to `up_to`. If the store was restored before that, what it
- * lacks stays in force.
- */
-template <typename Apply>
-std::vector<StoreItem> ApplyAndCarry(Feed& feed,
-                                     const std::vector<StoreItem>& items,
-                                     const StoreRevision& up_to,
-                                     const Apply& apply,
-                                     TimePoint now,
-                                     FeedActions& actions) {
-  if (IsRestored(feed.replica, up_to)) {
-    const StoreReplica before = feed.replica;
-    CarryResult result = CarryOver(
-        feed.carried, {before, feed.replica, apply()}, feed.lapses_alone, now);
-    if (result.complete)
-      feed.carried_era = up_to.era;
-    actions.restored =
-        RestorationSummary{before.revision, up_to, feed.carried.size()};
-    return std::move(result.changed_items);
-  }
-  if (feed.carried.empty())
-    return apply();
-  const std::vector<StoreItem> written =
-      ItemsAfter(items, feed.replica.revision);
-  std::vector<StoreItem> changed_items = apply();
-  DropWritten(feed.carried, written, changed_items);
-  return changed_items;
-}
-
-/** Gives an answer that names no era that of the replica. */
-void CompleteEra(const StoreReplica& replica, StoreAnswer& answer) {
-  if (answer.names_era)
-    return;
-  answer.revision.era = replica.revision.era;
-  for (StoreItem& item : answer.items)
-    item.revision.era = replica.revision.era;
-}
-
-/** The era of the state that the running read continues. */
-uint64_t EraOfRead(const Feed& feed) {
-  const FeedReader& reader = feed.reader;
-  if (reader.phase == FeedReader::Phase::kWatching)
-    return reader.watched_from.era;
-  return reader.reload.pages > 0 ? reader.reload.revision.era
-                                 : feed.replica.revision.era;
-}
-
-/**
- * What the answer means, given what else is known of the store. A watch that
- * was begun before the store was restored has missed changes, like one of a
- * compacted history, and so has a reload. An answer from before the restoration
- * is late.
- */
-StoreAnswer::Kind KindOf(const Feed& feed, const StoreAnswer& answer) {
-  if (answer.kind != StoreAnswer::Kind::kItems)
-    return answer.kind;
-  const uint64_t era = answer.revision.era;
-  if (era < feed.replica.revision.era)
-    return StoreAnswer::Kind::kUnavailable;
-  const bool is_first_page =
-      feed.reader.phase == FeedReader::Phase::kReloading &&
-      feed.reader.reload.pages == 0;
-  return is_first_page || era == EraOfRead(feed)
-             ? StoreAnswer::Kind::kItems
-             : StoreAnswer::Kind::kCompacted;
-}
-
 /** Pushes changes to the local peers for which `is_target` is true. */
 void PushUpdates(const Feed& feed,
                  const FeedTopology& topology,
@@ -308,19 +217,6 @@
     feed.store_ahead_since = now;
 }
 
-void AddCarriedByPeer(Feed& feed,
-                      const FeedUpdate& update,
-                      TimePoint now,
-                      FeedActions& actions) {
-  if (!update.carried || update.changes.up_to.era != feed.replica.revision.era)
-    return;
-  feed.carried_era = feed.replica.revision.era;
-  for (StoreItem& item :
-       AddCarried(feed.carried, {*update.carried, update.changes.up_to},
-                  feed.replica, now))
-    actions.changed_items.push_back(std::move(item));
-}
-
 }  // namespace
 
 FeedActions TickFeed(Feed& feed, const FeedTopology& topology, TimePoint now) {
@@ -360,17 +256,13 @@
       }
       actions.reloaded = SummaryOf(feed.reader.reload);
       StoreReload reload = std::exchange(feed.reader.reload, {});
-      actions.changed_items = ApplyAndCarry(
-          feed, {}, reload.revision,
-          [&] { return ApplyReload(feed.replica, reload); }, now, actions);
+      actions.changed_items = ApplyStoreReload(feed, reload, now, actions);
     } else {
       StoreChanges changes;
       changes.after = before;
       changes.up_to = answer.revision;
       changes.items = std::move(answer.items);
-      actions.changed_items = ApplyAndCarry(
-          feed, changes.items, changes.up_to,
-          [&] { return ApplyChanges(feed.replica, changes); }, now, actions);
+      actions.changed_items = ApplyStoreChanges(feed, changes, now, actions);
       AddConfirmation(feed, {now, 0});
     }
   }
@@ -449,9 +341,7 @@
   if (CanApply(feed.replica, changes)) {
     feed.requested_at.reset();
     feed.progressed_at.reset();
-    actions.changed_items = ApplyAndCarry(
-        feed, changes.items, changes.up_to,
-        [&] { return ApplyChanges(feed.replica, changes); }, now, actions);
+    actions.changed_items = ApplyStoreChanges(feed, changes, now, actions);
     AddCarriedByPeer(feed, update, now, actions);
     UpdateBehindSince(feed, now);
     // Changes from another data centre are new to all local peers.
--- a/tests/platform/settings_template_test.cc
+++ b/tests/platform/settings_template_test.cc
@@ -27,17 +27,7 @@
             {"Control", "127.0.0.1:8042"},
             {"Directory", "127.0.0.1:8044"}}},
           {"Platform", {{"Address", "127.0.0.1:8041"}}},
-          {"Bounds",
-           {{"QuotaWindowS", 5},
-            {"QuotaOverage", 0.25},
-            {"QuotaSlack", 20},
-            {"BudgetRatio", 0.2},
-            {"BudgetWindowS", 10},
-            {"BudgetSlack", 58},
-            {"GraceS", 6},
-            {"ProbesPerS", 60},
-            {"RevokeMs", 5000},
-            {"FailClosed", false}}}};
+          {"Bounds", SampleBounds()}};
 }
 
 Settings SettingsWith(const Json& fields) {
--- a/tests/platform_fleet/platform_fleet.cc
+++ b/tests/platform_fleet/platform_fleet.cc
@@ -134,6 +134,8 @@
   Json seeds = Json::array();
   for (int i = 0; i < std::min(3, plan_.instances); ++i)
     seeds.push_back(ToString(InstanceAddress(i, kPeerPort)));
+  Json bounds = SampleBounds();
+  bounds["FailClosed"] = plan_.fail_closed;
   return {{"Node", "front-" + std::to_string(index)},
           {"Ip", Host(kInstanceGroup, index)},
           {"Zone", "zone-" + std::to_string(index % plan_.zones)},
@@ -146,17 +148,7 @@
             {"Control", ToString(InstanceAddress(index, kPeerPort))},
             {"Directory", ToString(InstanceAddress(index, kDirectoryPort))}}},
           {"Platform", {{"Address", ToString(store_address(index))}}},
-          {"Bounds",
-           {{"QuotaWindowS", 5},
-            {"QuotaOverage", 0.25},
-            {"QuotaSlack", 20},
-            {"BudgetRatio", 0.2},
-            {"BudgetWindowS", 10},
-            {"BudgetSlack", 58},
-            {"GraceS", 6},
-            {"ProbesPerS", 60},
-            {"RevokeMs", 5000},
-            {"FailClosed", plan_.fail_closed}}}};
+          {"Bounds", bounds}};
 }
 
 std::string PlatformFleet::SettingsPath(int index) const {
--- a/tests/platform_fleet/template.cc
+++ b/tests/platform_fleet/template.cc
@@ -35,6 +35,13 @@
 
 }  // namespace
 
+Json SampleBounds() {
+  return {{"QuotaWindowS", 5},  {"QuotaOverage", 0.25}, {"QuotaSlack", 20},
+          {"BudgetRatio", 0.2}, {"BudgetWindowS", 10},  {"BudgetSlack", 58},
+          {"GraceS", 6},        {"ProbesPerS", 60},     {"RevokeMs", 5000},
+          {"FailClosed", false}};
+}
+
 std::string RenderTemplate(const std::string& text, const Json& fields) {
   constexpr char kJson[] = "|json";
   std::string result;
--- a/tests/platform_fleet/template.h
+++ b/tests/platform_fleet/template.h
@@ -6,6 +6,9 @@
 
 namespace mangodoor {
 
+/** The bounds that the platform fills in, as in the deployments of users. */
+nlohmann::json SampleBounds();
+
 /**
  * Fills in placeholders as the platform does: {{a.b}}, {{a.0}} and {{a|json}}.
  * A placeholder whose field is missing becomes an empty string.
