--- a/tests/limits/usage_limiter_test.cc
+++ b/tests/limits/usage_limiter_test.cc
@@ -147,6 +147,22 @@
   EXPECT_LE(sim.MaxAdmitted(kWindow), Bound(80, 80));
 }
 
+// Guards against a leader that lends a whole burst at once after its start: the
+// process before may have lent it a moment ago. The first version arrives after
+// the process has become the leader.
+TEST(UsageLimiterTest, LeaderThatStartsAnewHasNothingToLend) {
+  constexpr TimePoint kNow{std::chrono::hours(1)};
+  const ClientAccountId account("shop");
+  Document document;
+  document.client_accounts = {{account, 80, 80, 1}};
+  UsageLimiter limiter;
+  limiter.tolerance = {kWindow, 0.25, 20};
+  SetLeader(limiter, true, kNow);
+  AdoptAccounts(limiter, *MakeVersion(document, "", ""), kNow);
+  EXPECT_FALSE(LendToken(limiter, account, kNow + milliseconds(1)));
+  EXPECT_TRUE(LendToken(limiter, account, kNow + seconds(2)));
+}
+
 // Guards against the old rate staying in use after a version lowers it.
 TEST(UsageLimiterTest, LowerRateAppliesAtOnce) {
   UsageSim sim(4, 4, 80, 80);
