--- a/src/process/registry/feed_restoration.cc
+++ b/src/process/registry/feed_restoration.cc
@@ -5,8 +5,7 @@
 namespace mangodoor {
 namespace {
 
-/** True if this state is that of a store that was restored since the replica.
- */
+/** True if the store was restored between the replica's state and this one. */
 bool IsRestored(const StoreReplica& replica, const StoreRevision& state) {
   return replica.revision != StoreRevision() &&
          state.era > replica.revision.era;
