Do not wait for an ended process to handle a signal

Cause: before it signals an instance, the soak waits until the process handles or holds back the signal, 10 s at most. A process that has ended, and whose status was not read yet, does neither.

Fix: a process that has ended needs no wait. Its exit status is checked as before, and an end that nobody asked for is reported, so nothing is let through that was reported before.

--- a/tests/fleet/harness/child_process.cc
+++ b/tests/fleet/harness/child_process.cc
@@ -104,13 +104,19 @@
   return has_signal("SigBlk:") || has_signal("SigCgt:");
 }
 
+// Its exit status has not been read yet.
+bool ChildProcess::HasEnded() const {
+  return StatusField("State:") == "Z";
+}
+
 bool ChildProcess::SignalOnceStarted(int signal,
                                      std::chrono::milliseconds timeout) const {
   const auto end = std::chrono::steady_clock::now() + timeout;
-  bool started = HandlesOrHolds(signal);
+  const auto is_ready = [&] { return HandlesOrHolds(signal) || HasEnded(); };
+  bool started = is_ready();
   while (!started && std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kPollInterval);
-    started = HandlesOrHolds(signal);
+    started = is_ready();
   }
   Signal(signal);
   return started;
--- a/tests/fleet/harness/child_process.h
+++ b/tests/fleet/harness/child_process.h
@@ -23,8 +23,8 @@
   void Signal(int signal) const;
   /**
    * Sends a signal once the program has got to where it handles the signal or
-   * holds it back, at the latest after `timeout`; returns false then. Before
-   * its main(), a signal ends any program.
+   * holds it back, or has ended; at the latest after `timeout`, and returns
+   * false then. Before its main(), a signal ends any program.
    */
   bool SignalOnceStarted(int signal, std::chrono::milliseconds timeout) const;
 
@@ -43,6 +43,7 @@
   /** A field of /proc/PID/status; empty before the program is executed. */
   std::string StatusField(const std::string& wanted) const;
   bool HandlesOrHolds(int signal) const;
+  bool HasEnded() const;
 
   std::string program_;
   pid_t pid_ = -1;
