--- a/src/process/accounts/usage_limiter.cc
+++ b/src/process/accounts/usage_limiter.cc
@@ -202,7 +202,6 @@
     if (is_new) {
       state.tokens = cap * kInitialFillPart;
       state.refilled_at = now;
-      state.pool_refilled_at = now;
       state.demand_at = now;
     }
     state.tokens = std::min(state.tokens, cap);
