Let a test of cold servers answer the probe that its request waits for

Cause: the server of the test reports no load and tolerates one request a second while it is cold, so the second request within a second now waits for a probe. The fixture has no prober; the probe was never answered.

The test answers the probe, as a server does, and checks all that it checked before.

--- a/tests/connection/cold_server_test.cc
+++ b/tests/connection/cold_server_test.cc
@@ -30,6 +30,11 @@
     shares.cold.until = TimePoint::max();
     SetInstanceShares(tables_.servers, shares);
     ApplyRecord(Duration::zero());
+    AnswerProbe();
+  }
+
+  /** The server answers a probe: it is warm, and reports no load. */
+  void AnswerProbe() {
     ProbeResult without_load;
     without_load.answered = true;
     without_load.healthy = true;
@@ -71,10 +76,14 @@
   TestConnection first = Connect();
   first.Write(kGet);
   ASSERT_TRUE(Eventually([this] { return Outstanding() == 1; }));
-  // Waits for the only connection.
+  // Waits for a probe, since the server can have turned cold, and then for the
+  // only connection.
   TestConnection second = Connect();
   second.Write(kGet);
-  ASSERT_TRUE(Eventually([this] { return Outstanding() == 2; }));
+  ASSERT_TRUE(Eventually([this] {
+    AnswerProbe();
+    return Outstanding() == 2;
+  }));
   ApplyRecord(seconds(60));
   may_respond.set_value();
   EXPECT_THAT(first.ReadHead(), testing::StartsWith("HTTP/1.1 200"));
