Remove a field that no decision on trials reads

DoubtfulRequest had the target latency of the route, which TakeTrial() never used: the estimate that the request doubts is computed where it is refused. Behaviour stays as it is.

--- a/src/process/servers/placement.cc
+++ b/src/process/servers/placement.cc
@@ -277,10 +277,8 @@
   if (now >= requirements.deadline || !CannotMeetDeadline(service, waiter, now))
     return;
   const Duration doubted = UsualWork(service, requirements);
-  if (TakeTrial(
-          service.work_model,
-          {requirements.route, requirements.target, requirements.idempotent},
-          now))
+  if (TakeTrial(service.work_model,
+                {requirements.route, requirements.idempotent}, now))
     waiter.trial = Trial{doubted, now + kMaxTrialWait};
 }
 
--- a/src/process/servers/work_model.h
+++ b/src/process/servers/work_model.h
@@ -53,8 +53,6 @@
 /** A request whose deadline seems too short for its work. */
 struct DoubtfulRequest {
   std::string route;
-  /** Target latency of the route, which is zero if unset. */
-  Duration target{};
   /** True if the request may run more than once. */
   bool idempotent = true;
 };
