Let tests see a reset that a write is told of

What callers saw: nothing; this is a fault of the tests. A test that uploads to an instance took the reset of its connection for a close, so a response whose end is marked by the close, as HTTP/1.0 has it, looked whole to it.

Cause: the kernel tells a reset once. If TestConnection::Write() was told, the read after it saw an end of file, and reset_by_peer() stayed false.

A close still is none (CloseIsNoReset).

Why it works: Write() and the reads of a TestConnection run on one thread, so the write has recorded the reset before a read can see the end of file. Only "connection reset" counts: a broken pipe says that the other side had ended its stream before.

ShutdownSend(), which the next tests need, is new.

--- a/tests/connection/fake_server.cc
+++ b/tests/connection/fake_server.cc
@@ -77,6 +77,8 @@
 bool TestConnection::Write(const std::string& data) {
   boost::system::error_code error;
   asio::write(socket_, asio::buffer(data), error);
+  // A reset is told once: a read after this write sees an end of file.
+  reset_by_peer_ |= error == asio::error::connection_reset;
   return !error;
 }
 
@@ -136,6 +138,10 @@
   ::shutdown(socket_.native_handle(), SHUT_RDWR);
 }
 
+void TestConnection::ShutdownSend() {
+  ::shutdown(socket_.native_handle(), SHUT_WR);
+}
+
 // Disconnecting a socket resets its connection and keeps its descriptor, which
 // another thread may be about to use.
 void TestConnection::Reset() {
--- a/tests/connection/fake_server.h
+++ b/tests/connection/fake_server.h
@@ -41,6 +41,8 @@
   void Close();
   /** Ends the connection. Can be called while another thread uses it. */
   void Shutdown();
+  /** Sends an end of stream. The other side can still write. */
+  void ShutdownSend();
   /** Resets the connection, which stays usable for Shutdown. */
   void Reset();
   /** Reads what arrives next into buffer(). False if nothing arrives. */
