Do not take a reset during an upload for the end of a body

Cause: a socket tells the loss of its connection once, to the operation that comes first. During an upload a write and a read wait for the same socket. If the write is told, which ignores it by design since a server may answer early and stop reading, the read sees an end of file as if the server had ended its stream, and that ends a body without a length.

With sockets alone, on this kernel: after a reset a write fails with ECONNRESET and the reads after it see the data and an end of file; after an end of stream and then a reset the write fails with EPIPE.

Fix: BackendConnection keeps the error of the first write that failed, and ReadSome() returns it in place of an end of file. Write() now waits until the socket can take more and makes each write itself, on the strand of the read's handler: the error is kept before any read that follows it can report an end.

A broken pipe does not count. The server had then ended its stream before the reset, so all of the body had arrived.

Both places that ended a body at an end of file, for buffered and for relayed bodies, are one function now, ReadBodyPart().

--- a/src/connection/io/backend_connection_pool.cc
+++ b/src/connection/io/backend_connection_pool.cc
@@ -4,7 +4,10 @@
 #include <algorithm>
 #include <boost/asio/error.hpp>
 #include <cerrno>
+#include <deque>
+#include <map>
 #include <utility>
+#include <vector>
 
 #include "process/io/line_limiter.h"
 #include "process/io/log.h"
--- a/src/connection/io/backend_connection_pool.h
+++ b/src/connection/io/backend_connection_pool.h
@@ -1,18 +1,11 @@
 #ifndef CONNECTION_IO_BACKEND_CONNECTION_POOL_H_
 #define CONNECTION_IO_BACKEND_CONNECTION_POOL_H_
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
-#include <string>
-#include <vector>
 
+#include "connection/io/backend_connection.h"
 #include "connection/io/backend_transport.h"
-#include "connection/io/strand.h"
-#include "connection/sent_requests.h"
 #include "connection/time_limits.h"
 #include "process/clock.h"
 #include "process/counters.h"
@@ -21,28 +14,6 @@
 
 namespace mangodoor {
 
-/**
- * Maximum number of received bytes that a connection holds: more than the
- * largest head of a response and one read.
- */
-constexpr size_t kMaxUnparsedBytes = 96 * 1024;
-
-/** An open connection to a backend server. One attempt uses it at a time. */
-struct BackendConnection {
-  Endpoint endpoint;
-  std::shared_ptr<BackendSocket> socket;
-  /** Bytes received and not yet parsed. */
-  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
-  /** True if the connection has been returned to the pool before. */
-  bool reused = false;
-  TimePoint idle_since;
-  SentRequests sent;
-  /** Id of the last request that was sent; empty if it had none. */
-  std::string last_request_id;
-};
-
-using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
-
 /**
  * Pool of connections to backend servers. It reuses idle connections, and
  * limits for each server how many exist and how many are opened in parallel.
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -176,32 +176,26 @@
 
 boost::system::error_code BackendAttempt::Write(std::string_view data,
                                                 YieldContext yield) {
-  boost::system::error_code error;
-  BackendSocket& socket = *connection_->socket;
-  while (!data.empty() && !error) {
-    // Writes directly first, for the reason given in CallerStream::Write.
-    const asio::const_buffer rest(data.data(), data.size());
-    size_t size = socket.write_some(rest, error);
-    if (error == asio::error::would_block)
-      size = socket.async_write_some(rest, yield[error]);
-    data.remove_prefix(size);
-  }
-  return error;
+  return mangodoor::Write(*connection_, data, yield);
 }
 
 boost::system::error_code BackendAttempt::ReadSome(YieldContext yield) {
-  boost::system::error_code error;
-  auto& buffer = connection_->buffer;
-  if (buffer.max_size() - buffer.size() < kReadSize)
-    return http::error::buffer_overflow;
-  const size_t size = connection_->socket->async_read_some(
-      buffer.prepare(kReadSize), yield[error]);
-  buffer.commit(size);
+  const boost::system::error_code error =
+      mangodoor::ReadSome(*connection_, kReadSize, yield);
   if (!error && aborted_)
     return asio::error::operation_aborted;
   return error;
 }
 
+boost::system::error_code BackendAttempt::ReadBodyPart(ServerResponse& response,
+                                                       YieldContext yield) {
+  boost::system::error_code error = ReadSome(yield);
+  // Fails unless the body is one that ends with its connection.
+  if (error == asio::error::eof && !aborted_)
+    response.parser.put_eof(error);
+  return error;
+}
+
 AttemptReport::End BackendAttempt::ReadResponseHead(YieldContext yield) {
   for (int others = 0; !response_; ++others) {
     if (others > kMaxOtherResponses) {
@@ -295,10 +289,7 @@
     }
     if (parser.is_done() || body.size() >= kMaxBufferedBody)
       break;
-    boost::system::error_code error = ReadSome(yield);
-    if (error == asio::error::eof)
-      parser.put_eof(error);
-    if (error)
+    if (ReadBodyPart(response, yield))
       return AttemptReport::End::kConnectionLost;
   }
   return AttemptReport::End::kResponse;
--- a/src/request/io/backend_attempt.h
+++ b/src/request/io/backend_attempt.h
@@ -43,8 +43,12 @@
   /** Makes Run, or the forwarding of the response, end soon. */
   void Abort(AttemptReport::End end, ErrorKind error = ErrorKind::kInternal);
 
-  /** Reads more of the response into buffer(). */
-  boost::system::error_code ReadSome(YieldContext yield);
+  /**
+   * Reads more of the body of `response` into buffer(). If the server has ended
+   * its stream, finishes a body that ends with its connection.
+   */
+  boost::system::error_code ReadBodyPart(ServerResponse& response,
+                                         YieldContext yield);
 
   /** Sends more of the request's body. */
   boost::system::error_code Write(std::string_view data, YieldContext yield);
@@ -85,6 +89,7 @@
   std::optional<AttemptReport::End> RecheckBeforeSend();
   std::optional<ErrorKind> RecheckAuthorisation();
   bool Send(YieldContext yield);
+  boost::system::error_code ReadSome(YieldContext yield);
   AttemptReport::End ReadResponseHead(YieldContext yield);
   std::optional<AttemptReport::End> ReadNextResponse(YieldContext yield);
   std::optional<AttemptReport::End> ReadHead(size_t& size, YieldContext yield);
--- a/src/request/io/response_relay.cc
+++ b/src/request/io/response_relay.cc
@@ -1,12 +1,10 @@
 #include "request/io/response_relay.h"
 
-#include <boost/beast/http/error.hpp>
 #include <string>
 
 namespace mangodoor {
 namespace {
 
-namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
 // At most this many bytes of a body are decoded before they are written, which
@@ -22,21 +20,6 @@
     out += decoded;
 }
 
-/**
- * Reads more of the body. If the server closes the connection, finishes a body
- * whose end is marked by the close.
- */
-boost::system::error_code ReadOrFinishBody(BackendAttempt& attempt,
-                                           YieldContext yield) {
-  const boost::system::error_code error = attempt.ReadSome(yield);
-  if (error == asio::error::eof && !attempt.aborted()) {
-    boost::system::error_code end_error;
-    attempt.response().parser.put_eof(end_error);
-    return end_error;
-  }
-  return error;
-}
-
 void AppendBodyEnd(std::string& out,
                    ResponseParser& parser,
                    const Framing& framing,
@@ -100,7 +83,7 @@
     if (caller.Write(rest, context.limits.body_progress, yield))
       return RelayEnd::kCallerGone;
     rest.clear();
-    if (all_decoded && ReadOrFinishBody(attempt, yield))
+    if (all_decoded && attempt.ReadBodyPart(response, yield))
       return RelayEnd::kServerFailed;
   }
 }
--- a/tests/connection/data_path_fixture.cc
+++ b/tests/connection/data_path_fixture.cc
@@ -51,7 +51,13 @@
     return StartWith(std::move(script));
   replaced_.push_back(std::move(server_));
   server_ = std::make_unique<FakeServer>(std::move(script));
-  servers_ = {server_->endpoint()};
+  StartAgainWith({server_->endpoint()});
+}
+
+void DataPathTest::StartAgainWith(const std::vector<Endpoint>& servers) {
+  if (!listener_)
+    return Start(servers);
+  servers_ = servers;
   Apply(MakeTestVersion(++version_number_));
 }
 
@@ -167,4 +173,17 @@
   return false;
 }
 
+ParsedResponse ReadResponse(TestConnection& connection) {
+  const std::string bytes = connection.ReadAll();
+  EXPECT_FALSE(connection.timed_out());
+  return ParseResponse(
+      bytes, false,
+      connection.reset_by_peer() ? StreamEnd::kReset : StreamEnd::kClosed);
+}
+
+bool LooksLikeSuccess(const ParsedResponse& response) {
+  return response.state == ParsedResponse::State::kComplete &&
+         response.status == 200;
+}
+
 }  // namespace mangodoor
--- a/tests/connection/data_path_fixture.h
+++ b/tests/connection/data_path_fixture.h
@@ -11,6 +11,7 @@
 #include "connection/fake_server.h"
 #include "connection/io/backend_connection_pool.h"
 #include "connection/io/caller_listener.h"
+#include "connection/response_parser.h"
 #include "process/io/action_runner.h"
 #include "process/servers/retry_table.h"
 #include "process/system_clock.h"
@@ -44,6 +45,8 @@
   void StartWith(FakeServer::Script script);
   /** Starts with a server that runs `script`, or replaces all servers by it. */
   void StartAgainWith(FakeServer::Script script);
+  /** Starts with `servers`, or replaces all servers by them. */
+  void StartAgainWith(const std::vector<Endpoint>& servers);
 
   /** A version with this `number`, without `kKey` if `key_withdrawn`. */
   VersionPtr MakeTestVersion(uint64_t number, bool key_withdrawn = false) const;
@@ -98,6 +101,12 @@
  */
 bool Eventually(const std::function<bool()>& condition);
 
+/** Reads the response on `connection`, which its other side ends. */
+ParsedResponse ReadResponse(TestConnection& connection);
+
+/** True if a caller takes `response` for a success that is complete. */
+bool LooksLikeSuccess(const ParsedResponse& response);
+
 }  // namespace mangodoor
 
 #endif  // TESTS_CONNECTION_DATA_PATH_FIXTURE_H_
