Refuse heads whose status HTTP does not have

One of 000, 001 or 099 was taken for an interim response and skipped, without a fault in the log; bytes behind such a head, or its body, that formed a response with the request's id were passed on as the answer.

Cause: every number below 200 counted as interim, and every other as final.

Fix: status_code.h says what is interim (100 to 199) and what is final (200 to 599; RFC 9110, section 15). FaultOfHead(), where each head is judged before its owner is looked for, takes anything else for a malformed head: the fault is counted and logged, the attempt ends as for bytes that are no response, and the connection is not used again. 101 keeps its own fault.

--- a/src/connection/response_fault.h
+++ b/src/connection/response_fault.h
@@ -26,6 +26,7 @@
   kBytesAfterResponse,
   /** Bytes arrived while no request was running on the connection. */
   kBytesWhileIdle,
+  /** A head that is no HTTP, also because of its status. */
   kMalformedHead,
   kHeadTooLarge,
   kProtocolSwitched,
--- a/src/request/io/backend_attempt.cc
+++ b/src/request/io/backend_attempt.cc
@@ -10,6 +10,7 @@
 #include "request/header_scan.h"
 #include "request/io/response_check.h"
 #include "request/load_metrics.h"
+#include "request/status_code.h"
 
 namespace mangodoor {
 namespace {
@@ -21,7 +22,6 @@
 // More than any sound server sends, so that one that never stops is noticed
 // long before the deadline.
 constexpr int kMaxOtherResponses = 32;
-constexpr unsigned kStatusOk = 200;
 
 std::string_view BytesOf(const boost::beast::flat_buffer& buffer) {
   const auto data = buffer.cdata();
@@ -240,7 +240,7 @@
     return AttemptReport::End::kBadResponse;
   connection_->buffer.consume(size);
   // Interim responses are not forwarded: this instance answers Expect itself.
-  if (response->header.result_int() < kStatusOk)
+  if (IsInterimStatus(response->header.result_int()))
     return std::nullopt;
   if (owner.kind != ResponseOwner::Kind::kThisRequest)
     return SkipResponse(owner, *response, yield);
--- a/src/request/io/response_check.cc
+++ b/src/request/io/response_check.cc
@@ -2,6 +2,8 @@
 
 #include <boost/beast/http/field.hpp>
 
+#include "request/status_code.h"
+
 namespace mangodoor {
 namespace {
 
@@ -44,7 +46,10 @@
 
 std::optional<ResponseFault> FaultOfHead(const ResponseHeader& header,
                                          const HttpProfile& http_profile) {
-  if (header.result_int() == kStatusSwitchingProtocols)
+  const unsigned status = header.result_int();
+  if (!IsInterimStatus(status) && !IsFinalStatus(status))
+    return ResponseFault::kMalformedHead;
+  if (status == kStatusSwitchingProtocols)
     return ResponseFault::kProtocolSwitched;
   // The head of a response that breaks off in a field can run into the next.
   if (RepeatsDecidingField(header, http_profile))
--- /dev/null
+++ b/tests/connection/malformed_head_test.cc
@@ -0,0 +1,167 @@
+#include <string>
+#include <vector>
+
+#include "connection/broken_server_fixture.h"
+
+namespace mangodoor {
+namespace {
+
+using testing::AllOf;
+using testing::EndsWith;
+using testing::HasSubstr;
+using testing::StartsWith;
+
+/** Servers whose heads are no head of HTTP, for buffered and relayed bodies. */
+class MalformedHeadTest : public SigningServerTest,
+                          public testing::WithParamInterface<bool> {
+ protected:
+  MalformedHeadTest() { http_profile_.buffers_responses = GetParam(); }
+
+  static std::string HeadWith(const std::string& status,
+                              const std::string& lines) {
+    return "HTTP/1.1 " + status + " Reason\r\nX-Signed: 1\r\nX-Id: one\r\n" +
+           lines;
+  }
+
+  /** The caller's response to a POST that a server answers with `bytes`. */
+  std::string ResponseTo(const std::string& bytes) {
+    StartAgainWith([bytes](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(bytes);
+      connection.ReadMessage();
+    });
+    TestConnection caller = Connect();
+    caller.Write(Post("one"));
+    return caller.ReadMessage();
+  }
+
+  static auto IsBrokenAnswer() {
+    return AllOf(StartsWith("HTTP/1.1 502"),
+                 HasSubstr("Mangodoor-Error: backend_broken"),
+                 HasSubstr("Mangodoor-Outcome: unknown"));
+  }
+};
+
+INSTANTIATE_TEST_SUITE_P(Bodies,
+                         MalformedHeadTest,
+                         testing::Bool(),
+                         [](const testing::TestParamInfo<bool>& info) {
+                           return info.param ? "Buffered" : "Relayed";
+                         });
+
+const std::vector<std::string>& InvalidStatuses() {
+  static const std::vector<std::string> statuses = {"000", "001", "099", "600",
+                                                    "699", "700", "999"};
+  return statuses;
+}
+
+// Guards against a status that HTTP does not have in the response that a caller
+// gets, and against one below 100 that passes for an interim response
+// (RFC 9110, section 15).
+TEST_P(MalformedHeadTest, InvalidStatusReachesNoCaller) {
+  uint64_t count = 0;
+  for (const std::string& status : InvalidStatuses()) {
+    SCOPED_TRACE(status);
+    EXPECT_THAT(ResponseTo(HeadWith(status, "Content-Length: 2\r\n\r\nno")),
+                IsBrokenAnswer());
+    EXPECT_EQ(FaultCount(ResponseFault::kMalformedHead), ++count);
+  }
+}
+
+// Guards against bytes behind a head that is refused: they belong to no
+// request, although they form a response to this one.
+TEST_P(MalformedHeadTest, NothingBehindAnInvalidStatusIsForwarded) {
+  const std::string forged = SignedResponse("one", "forged");
+  const std::string length =
+      "Content-Length: " + std::to_string(forged.size()) + "\r\n";
+  for (const std::string& status : InvalidStatuses()) {
+    for (const std::string& lines : {std::string(), length}) {
+      SCOPED_TRACE(status + lines);
+      EXPECT_THAT(ResponseTo(HeadWith(status, lines + "\r\n") + forged),
+                  IsBrokenAnswer());
+    }
+  }
+}
+
+// Guards against a second use of a connection whose server has sent a head
+// with an invalid status.
+TEST_P(MalformedHeadTest, InvalidStatusClosesConnection) {
+  StartWith([this](TestConnection& connection) {
+    connection.ReadMessage();
+    if (++received_ == 1) {
+      connection.Write(HeadWith("000", "Content-Length: 0\r\n\r\n"));
+      connection.ReadMessage();
+    }
+    connection.Write(SignedResponse("two", "second"));
+  });
+  TestConnection caller = Connect();
+  caller.Write(Post("one"));
+  EXPECT_THAT(caller.ReadMessage(), IsBrokenAnswer());
+  caller.Write(Request("two", "/open"));
+  EXPECT_THAT(caller.ReadMessage(), EndsWith("second"));
+  EXPECT_EQ(server_->connections(), 2);
+}
+
+// Guards against an error for a request that another server can answer.
+TEST_P(MalformedHeadTest, InvalidStatusIsRetriedElsewhere) {
+  for (const std::string& status : InvalidStatuses()) {
+    SCOPED_TRACE(status);
+    received_ = 0;
+    const FakeServer::Script script = [&](TestConnection& connection) {
+      while (!connection.ReadMessage().empty())
+        connection.Write(++received_ == 1
+                             ? HeadWith(status, "Content-Length: 0\r\n\r\n")
+                             : SignedResponse("one", "good"));
+    };
+    FakeServer first(script);
+    FakeServer second(script);
+    StartAgainWith({first.endpoint(), second.endpoint()});
+    TestConnection caller = Connect();
+    caller.Write(Request("one", "/idempotent"));
+    EXPECT_THAT(caller.ReadMessage(), EndsWith("good"));
+    EXPECT_EQ(received_, 2);
+  }
+}
+
+// Guards against an invalid status that is skipped because it states the id of
+// an earlier request.
+TEST_P(MalformedHeadTest, InvalidStatusOfAnExtraResponseIsNotSkipped) {
+  for (const std::string& status : InvalidStatuses()) {
+    SCOPED_TRACE(status);
+    StartAgainWith([&status](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(SignedResponse("one", "first"));
+      connection.ReadMessage();
+      connection.Write(HeadWith(status, "Content-Length: 0\r\n\r\n") +
+                       SignedResponse("two", "second"));
+      connection.ReadMessage();
+    });
+    TestConnection caller = Connect();
+    caller.Write(Post("one"));
+    EXPECT_THAT(caller.ReadMessage(), EndsWith("first"));
+    caller.Write(Post("two"));
+    EXPECT_THAT(caller.ReadMessage(), IsBrokenAnswer());
+  }
+}
+
+// Guards against a sound response that is taken for a malformed one: any status
+// from 200 to 599, also behind interim responses.
+TEST_P(MalformedHeadTest, EveryFinalStatusIsForwarded) {
+  constexpr int kFirstFinal = 200;
+  constexpr int kEndOfFinal = 600;
+  constexpr int kStep = 7;
+  std::vector<int> statuses = {kEndOfFinal - 1};
+  for (int status = kFirstFinal; status < kEndOfFinal; status += kStep)
+    statuses.push_back(status);
+  for (const int status : statuses) {
+    const std::string text = std::to_string(status);
+    SCOPED_TRACE(text);
+    EXPECT_THAT(ResponseTo("HTTP/1.1 100 Continue\r\nX-Id: one\r\n\r\n"
+                           "HTTP/1.1 199 Interim\r\nX-Id: one\r\n\r\n" +
+                           HeadWith(text, "Content-Length: 2\r\n\r\nok")),
+                AllOf(StartsWith("HTTP/1.1 " + text + " "), EndsWith("ok")));
+  }
+}
+
+}  // namespace
+}  // namespace mangodoor
--- a/tests/connection/response_parser.cc
+++ b/tests/connection/response_parser.cc
@@ -75,7 +75,7 @@
   response.is_http_10 = version == "HTTP/1.0 ";
   const std::string_view rest = line.substr(kStatusLineStart);
   const auto status = ParseNumber(rest.substr(0, 3), 10);
-  if (!status || *status < 100 || rest.size() < 3 ||
+  if (!status || *status < 100 || *status >= 600 || rest.size() < 3 ||
       (rest.size() > 3 && rest[3] != ' ') || !IsVisible(rest))
     return false;
   response.status = static_cast<int>(*status);
--- a/tests/connection/server_bytes.cc
+++ b/tests/connection/server_bytes.cc
@@ -152,20 +152,30 @@
   return "";
 }
 
+std::string StatusDigits(int status) {
+  char digits[8];
+  std::snprintf(digits, sizeof(digits), "%03d", status);
+  return digits;
+}
+
 std::string StatusLine(const ServerPiece& piece) {
   std::string line = piece.is_http_10 ? "HTTP/1.0 " : "HTTP/1.1 ";
   if (piece.head == HeadForm::kOtherVersion)
     line = "HTTP/2.0 ";
-  line += std::to_string(piece.status);
+  line += StatusDigits(piece.status);
   if (piece.head != HeadForm::kNoReason)
     line += " Reason";
   return line + "\r\n";
 }
 
+bool IsInterim(const ServerPiece& piece) {
+  return piece.status >= 100 && piece.status < 200;
+}
+
 bool HasBody(const ServerPiece& piece, const PieceContext& context) {
   const bool is_head = piece.id == StatedId::kEarlier ? context.earlier.is_head
                                                       : context.own.is_head;
-  if (piece.status < 200)
+  if (IsInterim(piece))
     return false;
   return piece.has_forbidden_body ||
          !(is_head || piece.status == 204 || piece.status == 304);
@@ -182,7 +192,7 @@
   if (piece.says_close)
     text += "Connection: close\r\n";
   text += HeadFormFields(piece.head);
-  if (HasBody(piece, context) || (piece.status >= 200 && piece.status != 204))
+  if (HasBody(piece, context) || (!IsInterim(piece) && piece.status != 204))
     text += BodyEndFields(piece.body_end, body.size());
   text += "\r\n";
   if (!HasBody(piece, context))
