--- a/tests/connection/malformed_head_test.cc
+++ b/tests/connection/malformed_head_test.cc
@@ -163,5 +163,62 @@
   }
 }
 
+// Guards against a line that is passed on, or bytes behind it that are, if a
+// server writes a blank, a control byte or one beyond ASCII into the name of a
+// field, folds a line, or leaves out the colon. Reported of other systems.
+TEST_P(MalformedHeadTest, InvalidFieldReachesNoCaller) {
+  const std::string forged = SignedResponse("one", "forged");
+  std::vector<std::string> lines = {"X-Folded: a\r\n b", "X-No-Colon",
+                                    "X-Value: a\x01z", "X-Value: a\x7fz",
+                                    std::string("X-Value: a\0z", 12)};
+  for (const char byte : {' ', '\t', '\0', '\x01', '\x02', '\x0b', '\x0c',
+                          '\x0d', '\x1f', '\x7f', '\x80'}) {
+    lines.push_back(std::string(1, byte) + "X-Name: a");
+    lines.push_back(std::string("X-Na") + byte + "me: a");
+    lines.push_back(std::string("X-Name") + byte + ": a");
+  }
+  uint64_t count = 0;
+  for (const std::string& line : lines) {
+    SCOPED_TRACE(testing::PrintToString(line));
+    EXPECT_THAT(
+        ResponseTo(HeadWith("200", line + "\r\nContent-Length: 2\r\n\r\nno") +
+                   forged),
+        IsBrokenAnswer());
+    EXPECT_EQ(FaultCount(ResponseFault::kMalformedHead), ++count);
+  }
+}
+
+// The same in a response whose other fields state that the request did not run:
+// nothing of such a head is believed.
+TEST_P(MalformedHeadTest, RefusalWithInvalidFieldPromisesNothing) {
+  for (const char byte : {' ', '\x01', '\x7f'}) {
+    SCOPED_TRACE(static_cast<int>(byte));
+    EXPECT_THAT(ResponseTo(HeadWith(
+                    "503", "X-Not-Run: 1\r\nX-Na" + std::string(1, byte) +
+                               "me: a\r\nContent-Length: 0\r\n\r\n")),
+                IsBrokenAnswer());
+  }
+}
+
+// The same in a trailer, where the caller's response must not look complete.
+TEST_P(MalformedHeadTest, InvalidTrailerEndsNoBody) {
+  for (const char byte : {' ', '\t', '\0', '\x01', '\x1f', '\x7f', '\x80'}) {
+    SCOPED_TRACE(static_cast<int>(byte));
+    const std::string head =
+        HeadWith("200", "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string trailer = std::string("X-Na") + byte + "me: a\r\n";
+    StartAgainWith([head, trailer](TestConnection& connection) {
+      connection.ReadMessage();
+      connection.Write(head + "2\r\nno\r\n0\r\n" + trailer + "\r\n");
+      connection.ReadMessage();
+    });
+    TestConnection caller = Connect();
+    caller.Write(
+        "POST /open HTTP/1.1\r\nHost: a\r\nX-Id: one\r\n"
+        "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_FALSE(LooksLikeSuccess(ReadResponse(caller)));
+  }
+}
+
 }  // namespace
 }  // namespace mangodoor
