Let generated servers end a connection before they read an upload

Its servers can now end a connection unread, and two properties upload 6 MiB to servers that mostly do.

--- a/tests/connection/scenario_player.cc
+++ b/tests/connection/scenario_player.cc
@@ -87,6 +87,8 @@
     RequestReceipt receipt = ReceiptOf(head);
     if (turn.turn.before_body) {
       WritePieces(connection, turn, record, receipt);
+      if (turn.turn.ends_before_body)
+        End(connection, turn.turn.end, record);
       TakeBody(receipt, ReadBody(connection, head));
     } else {
       TakeBody(receipt, ReadBody(connection, head));
@@ -94,7 +96,8 @@
     }
     const bool whole = receipt.has_whole_body;
     record.receipts.push_back(std::move(receipt));
-    End(connection, turn.turn.end, record);
+    if (record.end == StreamEnd::kOpen)
+      End(connection, turn.turn.end, record);
     return whole;
   }
 
--- a/tests/connection/server_bytes.cc
+++ b/tests/connection/server_bytes.cc
@@ -344,7 +344,8 @@
     out << "in writes of " << turn.write_size << " bytes: ";
   for (const ServerPiece& piece : turn.pieces)
     out << "\n      " << piece;
-  return out << "\n      then " << Name(turn.end);
+  return out << "\n      then " << Name(turn.end)
+             << (turn.ends_before_body ? ", before reading the body" : "");
 }
 
 std::ostream& operator<<(std::ostream& out, const CallerRequest& request) {
--- a/tests/connection/server_bytes.h
+++ b/tests/connection/server_bytes.h
@@ -104,6 +104,8 @@
   int write_size = 0;
   /** The pieces are written before the body of the request is read. */
   bool before_body = false;
+  /** With `before_body`, the connection also ends before that. */
+  bool ends_before_body = false;
 };
 
 struct CallerRequest {
--- a/tests/connection/server_bytes_gen.cc
+++ b/tests/connection/server_bytes_gen.cc
@@ -182,7 +182,8 @@
                        {{24, End::kKeep}, {4, End::kClose}, {2, End::kReset}})),
       rc::gen::set(&ServerTurn::write_size,
                    GenChoice<int>({{8, 0}, {1, 1}, {1, 7}, {1, 150}})),
-      rc::gen::set(&ServerTurn::before_body, GenRarely(8)));
+      rc::gen::set(&ServerTurn::before_body, GenRarely(8)),
+      rc::gen::set(&ServerTurn::ends_before_body, GenRarely(2)));
 }
 
 rc::Gen<CallerRequest> GenRequest() {
@@ -201,6 +202,43 @@
       rc::gen::set(&CallerRequest::is_pipelined, GenRarely(5)));
 }
 
+/** An upload of more than the buffers of the sockets hold. */
+rc::Gen<CallerRequest> GenLongUpload() {
+  constexpr int kSize = 6 * 1024 * 1024;
+  return rc::gen::build<CallerRequest>(
+      rc::gen::set(&CallerRequest::method,
+                   rc::gen::just(CallerRequest::Method::kPost)),
+      rc::gen::set(&CallerRequest::on_idempotent_route, GenRarely(4)),
+      rc::gen::set(&CallerRequest::body_size, rc::gen::just(kSize)),
+      rc::gen::set(&CallerRequest::body_is_chunked, GenRarely(4)),
+      rc::gen::set(&CallerRequest::is_http_10, GenRarely(4)));
+}
+
+/** A whole response whose end is mostly that of its connection. */
+rc::Gen<ServerPiece> GenUnendedPiece() {
+  return rc::gen::build<ServerPiece>(
+      rc::gen::set(&ServerPiece::pause_before, GenPause()),
+      rc::gen::set(&ServerPiece::body_end,
+                   GenChoice<BodyEnd>({{4, BodyEnd::kUntilClose},
+                                       {1, BodyEnd::kLength},
+                                       {1, BodyEnd::kChunked}})),
+      rc::gen::set(&ServerPiece::body_size, GenBodySize()),
+      rc::gen::set(&ServerPiece::is_http_10, GenRarely(4)));
+}
+
+rc::Gen<ServerTurn> GenEarlyTurn() {
+  using End = ServerTurn::End;
+  return rc::gen::build<ServerTurn>(
+      rc::gen::set(
+          &ServerTurn::pieces,
+          rc::gen::container<std::vector<ServerPiece>>(1, GenUnendedPiece())),
+      rc::gen::set(&ServerTurn::end,
+                   GenChoice<End>({{3, End::kReset}, {1, End::kClose}})),
+      rc::gen::set(&ServerTurn::before_body, rc::gen::just(true)),
+      rc::gen::set(&ServerTurn::ends_before_body,
+                   GenChoice<bool>({{3, true}, {1, false}})));
+}
+
 }  // namespace
 
 rc::Gen<Scenario> GenScenario() {
@@ -210,4 +248,12 @@
       rc::gen::set(&Scenario::has_hedges, GenRarely(6)));
 }
 
+rc::Gen<Scenario> GenEarlyEndScenario() {
+  return rc::gen::build<Scenario>(
+      rc::gen::set(
+          &Scenario::requests,
+          rc::gen::container<std::vector<CallerRequest>>(1, GenLongUpload())),
+      rc::gen::set(&Scenario::turns, GenList(2, GenEarlyTurn())));
+}
+
 }  // namespace mangodoor
--- a/tests/connection/server_bytes_gen.h
+++ b/tests/connection/server_bytes_gen.h
@@ -10,6 +10,10 @@
 /** Generates scenarios that shrink towards correct responses. */
 rc::Gen<Scenario> GenScenario();
 
+/** Generates long uploads that servers answer, and end, before they read them.
+ */
+rc::Gen<Scenario> GenEarlyEndScenario();
+
 }  // namespace mangodoor
 
 #endif  // TESTS_CONNECTION_SERVER_BYTES_GEN_H_
--- a/tests/connection/server_bytes_property_test.cc
+++ b/tests/connection/server_bytes_property_test.cc
@@ -59,6 +59,17 @@
   CheckScenario(*GenScenario(), Interface::kPlain);
 }
 
+// Guards against an early response that looks whole although its server has
+// reset the connection: the error of the connection can be told to the write of
+// an upload.
+RC_GTEST_PROP(ServerBytesProperty, EarlyEndsBreakOffResponses, ()) {
+  CheckScenario(*GenEarlyEndScenario(), Interface::kWithIdsAndSignatures);
+}
+
+RC_GTEST_PROP(ServerBytesProperty, EarlyEndsBreakOffResponsesWithoutIds, ()) {
+  CheckScenario(*GenEarlyEndScenario(), Interface::kPlain);
+}
+
 // Guards against a property that holds because nothing is forwarded.
 TEST(ServerBytesTest, SoundResponsesAreForwarded) {
   Scenario scenario;
