Do not take an invalid status for the answer to a load probe

What callers saw: nothing directly; a server whose bytes were no response counted as one that had told its load.

Cause: the probe took every status from 200 on for an answer. One below 100 ended the probe as an interim response does, without a fault.

Evidence: BrokenProbeTest.InvalidStatusDoesNotAnswerTheLoadProbe failed: 600, 699, 700 and 999 answered the probe, and none of seven statuses was counted.

Fix: the probe judges by status_code.h, and counts malformed_head.

Result: the probe tests pass.

--- a/src/process/servers/io/load_prober.cc
+++ b/src/process/servers/io/load_prober.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "request/deadline.h"
+#include "request/status_code.h"
 
 namespace mangodoor {
 namespace {
@@ -27,7 +28,6 @@
 // slot instead.
 constexpr std::chrono::milliseconds kProbeTimeout{150};
 
-constexpr unsigned kStatusOk = 200;
 constexpr uint64_t kMaxProbeBody = 4096;
 
 std::string_view View(boost::beast::string_view text) {
@@ -132,13 +132,12 @@
   void HandleResponse() {
     const auto& response = parser_.get();
     // After an interim response, the response to the probe is still to come.
-    if (response.result_int() < kStatusOk)
+    if (IsInterimStatus(response.result_int()))
       return End(false);
-    if (HasRequestId()) {
-      ++counters_.response_faults[static_cast<size_t>(
-          ResponseFault::kExtraResponse)];
-      return End(false);
-    }
+    if (!IsFinalStatus(response.result_int()))
+      return EndWithFault(ResponseFault::kMalformedHead);
+    if (HasRequestId())
+      return EndWithFault(ResponseFault::kExtraResponse);
     result_.answered = true;
     result_.healthy = response.result() == http::status::ok;
     result_.server_load =
@@ -170,6 +169,11 @@
     End(false);
   }
 
+  void EndWithFault(ResponseFault fault) {
+    ++counters_.response_faults[static_cast<size_t>(fault)];
+    End(false);
+  }
+
   void End(bool reusable) {
     if (std::exchange(ended_, true))
       return;
