Do not measure an invalid status as a success in mangodoor-load

What callers saw: nothing; mangodoor-load counted a response with a status of 000, 099 or 103 as served, and one of 600 or 999 as a failure of the server, and sent its next request on the same connection.

Cause: any status below 500 without an error of an instance counted as served.

Evidence: LoadCallerTest.StatusThatIsNotFinalIsNoResponse failed for all of 0, 99, 103, 600 and 999.

Fix: a status that is not final (status_code.h) breaks the attempt, and the connection is closed, since what is behind it belongs to no request.

Already held: a reset is no end of a response (ResetIsNoEndOfTheResponse).

Result: the tests of LoadCaller pass.

--- a/src/process/load/io/load_caller.cc
+++ b/src/process/load/io/load_caller.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "request/status_code.h"
 #include "version/io/json_text.h"
 
 namespace mangodoor {
@@ -137,8 +138,11 @@
     http::async_write(*stream_, request, yield);
     const Response response =
         Read(*stream_, buffer_, request.method() != http::verb::head, yield);
-    attempt = ToAttempt(response);
-    if (!response.keep_alive())
+    // Bytes behind another status belong to no request.
+    const bool is_final = IsFinalStatus(response.result_int());
+    if (is_final)
+      attempt = ToAttempt(response);
+    if (!is_final || !response.keep_alive())
       Disconnect();
   } catch (const boost::system::system_error&) {
     AvoidAddress(address_cache_, connected_to_, clock_.Now());
--- a/tests/operators/load_caller_test.cc
+++ b/tests/operators/load_caller_test.cc
@@ -40,6 +40,8 @@
 
   std::vector<Endpoint> addresses;
   Handler handler = [](const Request&, Response&) { return true; };
+  /** Written in place of a response, before a reset. */
+  std::string part;
   std::vector<Request> requests;
   int address_requests = 0;
   int connections = 0;
@@ -77,12 +79,20 @@
         requests.push_back(request);
         if (!handler(request, response))
           return;
+        if (!part.empty())
+          return WriteAndReset(stream.socket(), yield);
       }
       response.prepare_payload();
       http::async_write(stream, response, yield);
     }
   }
 
+  void WriteAndReset(tcp::socket& socket, asio::yield_context yield) {
+    asio::async_write(socket, asio::buffer(part), yield);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+  }
+
   std::string AddressesBody() const {
     std::string list;
     for (const Endpoint& address : addresses)
@@ -102,6 +112,19 @@
     second_.addresses = first_.addresses;
   }
 
+  // Sends one request with a new caller.
+  RequestResult SendRequest() {
+    RequestResult result;
+    asio::spawn(context_, [&](asio::yield_context yield) {
+      LoadCaller caller(context_, clock_, options_, 0);
+      result = caller.SendRequest(clock_.Now(), yield);
+      context_.stop();
+    });
+    context_.run();
+    context_.restart();
+    return result;
+  }
+
   // Sends `count` requests with one caller, then stops the instances.
   std::vector<RequestResult> SendRequests(int count,
                                           size_t address_offset = 0) {
@@ -197,5 +220,26 @@
   EXPECT_TRUE(IsServed(results[1].last));
 }
 
+// Guards against a measured success for bytes that are no response, and against
+// a connection that is used again behind an interim one.
+TEST_F(LoadCallerTest, StatusThatIsNotFinalIsNoResponse) {
+  options_.max_attempts = 1;
+  for (const unsigned status : {0U, 99U, 103U, 600U, 999U}) {
+    SCOPED_TRACE(status);
+    first_.handler = [status](const Request&, Response& response) {
+      response.result(status);
+      return true;
+    };
+    EXPECT_EQ(SendRequest().last.end, RequestAttempt::End::kBroken);
+  }
+}
+
+// Guards against a part of a response that is measured as a success.
+TEST_F(LoadCallerTest, ResetIsNoEndOfTheResponse) {
+  options_.max_attempts = 1;
+  first_.part = "HTTP/1.1 200 OK\r\n\r\npart";
+  EXPECT_EQ(SendRequest().last.end, RequestAttempt::End::kBroken);
+}
+
 }  // namespace
 }  // namespace mangodoor
