--- a/tests/peers/sources_test.cc
+++ b/tests/peers/sources_test.cc
@@ -96,6 +96,18 @@
   EXPECT_EQ(Read(0, std::chrono::seconds(0)).kind, Kind::kUnavailable);
 }
 
+// Guards against a document in bytes whose status is none of HTTP.
+TEST_F(SourcesTest, InvalidStatusIsUnavailable) {
+  for (const unsigned status : {0U, 99U, 600U, 999U}) {
+    StandinResponse response = MakeStandinResponse(http::status::ok, "text");
+    response.set(http::field::etag, "\"12\"");
+    response.result(status);
+    SetResponse(response);
+    EXPECT_EQ(Read(0, std::chrono::seconds(0)).kind,
+              DocumentAnswer::Kind::kUnavailable);
+  }
+}
+
 // Guards against a reader that waits for ever when no service is listening.
 TEST_F(SourcesTest, AbsentServiceIsUnavailable) {
   HttpDocumentSource source(pool_.context(), LoopbackEndpoint(51), counters_);
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "process/endless_server.h"
+#include "process/one_response_server.h"
 
 namespace mangodoor::platform {
 namespace {
@@ -84,6 +85,29 @@
   server.join();
 }
 
+StoreAnswer::Kind KindOf(const OneResponse& response) {
+  OneResponseServer server(response);
+  boost::asio::io_context context;
+  StoreClient client(context, server.endpoint());
+  return Watch(context, client).kind;
+}
+
+// Guards against a copy of the store that is made of a part of a response, or
+// of bytes that are none.
+TEST(StoreClientTest, BrokenResponseIsUnavailable) {
+  const std::string body = R"({"events":[],"CurrentRev":7})";
+  const std::string unended = "HTTP/1.1 200 OK\r\n\r\n" + body;
+  EXPECT_EQ(KindOf({unended, true}), StoreAnswer::Kind::kUnavailable);
+  EXPECT_EQ(KindOf({unended, false}), StoreAnswer::Kind::kItems);
+  for (const char* status : {"000", "099", "103", "600", "999"}) {
+    SCOPED_TRACE(status);
+    EXPECT_EQ(KindOf({std::string("HTTP/1.1 ") + status +
+                          " Status\r\nContent-Length: 28\r\n\r\n" + body,
+                      false}),
+              StoreAnswer::Kind::kUnavailable);
+  }
+}
+
 class EndlessStoreTest : public ::testing::TestWithParam<EndlessResponse> {};
 
 // Guards against memory that grows as long as a faulty store goes on writing,
