Let the callers of fleet tests and of the soak see more broken answers

What callers saw: nothing; this is a fault of the tests, which hid two kinds of broken answers. A status of 000 passed on by an instance counted as no response, and 099, 600 or 999 as a response. An answer that came before the request could be written was not read at all, so none that is broken could be found.

Evidence: HttpClientFleetTest.InvalidStatusIsMalformed and EarlyAnswerIsRead failed.

Fix: a status that is not final (status_code.h) is bytes that are no response, which the soak reports as a violation. After a write that failed the client still reads; an answer that then ends at an end of file counts as none, since the write may have been told of a reset.

--- a/tests/fleet/harness/http_client.cc
+++ b/tests/fleet/harness/http_client.cc
@@ -4,6 +4,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "request/status_code.h"
+
 namespace mangodoor {
 
 namespace beast = boost::beast;
@@ -57,6 +59,12 @@
          error != http::error::body_limit;
 }
 
+ClientResponse NoResponse(const std::string& malformed) {
+  ClientResponse none;
+  none.malformed = malformed;
+  return none;
+}
+
 }  // namespace
 
 // Timeouts of a Beast stream work only for asynchronous operations, so each
@@ -102,10 +110,10 @@
   if (!impl_->connected && !impl_->Connect())
     return {};
   auto message = ToHttpRequest(request);
-  if (!impl_->RunUntilDone([&](auto handler) {
-        http::async_write(impl_->stream, message, handler);
-      }))
-    return {};
+  // An answer may have come before the request could be written.
+  const bool written = impl_->RunUntilDone([&](auto handler) {
+    http::async_write(impl_->stream, message, handler);
+  });
   http::response_parser<http::string_body> parser;
   parser.body_limit(request.max_response_body);
   if (request.method == "HEAD")
@@ -119,11 +127,14 @@
     http::async_read(impl_->stream, impl_->buffer, parser, handler);
   };
   if (!impl_->RunUntilDone(read_header) || !impl_->RunUntilDone(read_body)) {
-    ClientResponse none;
-    if (IsMalformed(impl_->last_error))
-      none.malformed = impl_->last_error.message();
-    return none;
+    return NoResponse(
+        IsMalformed(impl_->last_error) ? impl_->last_error.message() : "");
   }
+  if (!IsFinalStatus(parser.get().result_int()))
+    return NoResponse("status " + std::to_string(parser.get().result_int()));
+  // A write that was told of a reset leaves an end of file to the read.
+  if (!written && parser.need_eof())
+    return {};
   return ToClientResponse(parser.release());
 }
 
