--- a/tests/soak_fleet/server_faults_test.cc
+++ b/tests/soak_fleet/server_faults_test.cc
@@ -39,13 +39,14 @@
             std::chrono::seconds(5));
   }
 
-  std::vector<std::string> ViolationsWith(ServerFaultKind kind) {
+  std::vector<std::string> ViolationsWith(ServerFaultKind kind,
+                                          int requests = kRequests) {
     ServerFaultMode mode;
     mode.kinds = {kind};
     mode.share_percent = 50;
     mode.seed = 1;
     EXPECT_TRUE(fleet_.SetServerFaults(0, EncodeFaultMode(mode)));
-    for (int i = 0; i < kRequests; ++i)
+    for (int i = 0; i < requests; ++i)
       Send(NameOf(kind)[0] + std::to_string(i), i);
     for (const RunLogEntry& entry : ReadRunLog(fleet_.RunLogPath(0)))
       Record(entry);
@@ -102,8 +103,11 @@
 }
 
 TEST_F(ServerFaultsTest, BrokenResponsesAreNoticed) {
-  const auto violations = ViolationsWith(ServerFaultKind::kBroken);
+  // Enough for each of the ways in which a response can be broken.
+  const auto violations =
+      ViolationsWith(ServerFaultKind::kBroken, 2 * kRequests);
   EXPECT_THAT(violations, Contains(HasSubstr("are not a response")));
+  EXPECT_THAT(violations, Contains(HasSubstr("not a response: status ")));
   EXPECT_THAT(violations, Contains(HasSubstr("without signature")));
   EXPECT_GT(incomplete_, 0);
 }
