Pass on a reset that a write of the tests' relay is told of

Cause, by reading: FaultRelay closed both sides without a reset if a write had failed, though the write may have been told of the reset that the read of the same socket then missed.

To show it, the relay must have taken all bytes of the uploading side at the reset, else its close sends a reset anyway.

Fix: a write that fails ends the connection as a read that fails does.

--- a/tests/fleet/harness/fault_relay.cc
+++ b/tests/fleet/harness/fault_relay.cc
@@ -114,8 +114,9 @@
         });
   }
 
-  // Passes a reset on as a reset: a response whose end is marked by the close
-  // of its connection would look complete otherwise.
+  // Passes a reset on as a reset, also one that a write is told of: a response
+  // whose end is marked by the close of its connection would look complete
+  // otherwise.
   static void End(const std::shared_ptr<Link>& link,
                   boost::system::error_code error) {
     if (error == asio::error::eof)
@@ -133,7 +134,7 @@
         asio::buffer(to_target ? link->to_target : link->to_caller, size),
         [this, link, direction](boost::system::error_code error, size_t) {
           if (error)
-            return link->Close();
+            return End(link, error);
           Copy(link, direction);
         });
   }
