Keep tests of resets that the read is told of

The tests of a reset during an upload also demand now that the caller is promised nothing: its response is broken off, or a 502 with the outcome unknown.

--- a/tests/connection/early_response_test.cc
+++ b/tests/connection/early_response_test.cc
@@ -1,6 +1,7 @@
 #include <array>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "connection/data_path_fixture.h"
 
@@ -26,6 +27,9 @@
 // Long enough for a reset, or the end of a stream, to arrive.
 constexpr std::chrono::milliseconds kArrival{20};
 
+// Longer than the delay of a hedge.
+constexpr std::chrono::milliseconds kSlow{300};
+
 constexpr char kUnendedHead[] = "HTTP/1.1 200 OK\r\n\r\n";
 
 enum class UploadForm { kLength, kChunked, kHttp10 };
@@ -62,6 +66,16 @@
   return LooksLikeSuccess(response) && response.body.size() == body_size;
 }
 
+/**
+ * True if `response` promises nothing: it is broken off, or states that the
+ * outcome is unknown.
+ */
+bool PromisesNothing(const ParsedResponse& response) {
+  return response.state != ParsedResponse::State::kComplete ||
+         (response.status == 502 && ValuesOf(response, "Mangodoor-Outcome") ==
+                                        std::vector<std::string>{"unknown"});
+}
+
 /** Servers that answer an upload before they have read it. */
 class EarlyResponseTest : public DataPathTest,
                           public testing::WithParamInterface<UploadCase> {
@@ -92,7 +106,7 @@
             connection.Write(kUnendedHead + std::string(size, 'x'));
             connection.Reset();
           });
-      EXPECT_FALSE(LooksLikeSuccess(response)) << response.body.size();
+      EXPECT_TRUE(PromisesNothing(response)) << response.body.size();
     }
   }
 }
@@ -107,7 +121,20 @@
       std::this_thread::sleep_for(kArrival);
       connection.Reset();
     });
-    EXPECT_FALSE(LooksLikeSuccess(response)) << response.body.size();
+    EXPECT_TRUE(PromisesNothing(response)) << response.body.size();
+  }
+}
+
+// The same between the last write of the upload and the end of the body.
+TEST_P(EarlyResponseTest, ResetAfterTheUploadIsNoEndOfTheBody) {
+  for (const size_t size : kBodySizes) {
+    SCOPED_TRACE(size);
+    const ParsedResponse response = Upload([size](TestConnection& connection) {
+      ReadBody(connection, connection.ReadHead());
+      connection.Write(kUnendedHead + std::string(size, 'x'));
+      connection.Reset();
+    });
+    EXPECT_TRUE(PromisesNothing(response)) << response.body.size();
   }
 }
 
@@ -240,6 +267,46 @@
   }
 }
 
+// The same if the request is still being sent.
+TEST_F(ResetResponseTest, ResetBeforeTheRequestIsNoEndOfTheBody) {
+  for (const size_t size : kBodySizes) {
+    SCOPED_TRACE(size);
+    StartAgainWith([size](TestConnection& connection) {
+      connection.Write(kUnendedHead + std::string(size, 'x'));
+      connection.Reset();
+    });
+    TestConnection caller = Connect();
+    caller.Write(ShortPost("/open"));
+    EXPECT_FALSE(LooksLikeSuccess(ReadResponse(caller)));
+  }
+}
+
+// Guards against a hedge that is reset and replaces the response of the first
+// attempt.
+TEST_F(ResetResponseTest, ResetHedgeLeavesTheFirstResponse) {
+  std::atomic<int> received{0};
+  const FakeServer::Script script = [&received](TestConnection& connection) {
+    if (connection.ReadMessage().empty())
+      return;
+    if (++received == 1) {
+      std::this_thread::sleep_for(kSlow);
+      connection.Write(kUnendedHead + std::string("whole"));
+      return;
+    }
+    connection.Write(kUnendedHead + std::string("part"));
+    connection.Reset();
+  };
+  FakeServer one(script);
+  FakeServer other(script);
+  Start({one.endpoint(), other.endpoint()});
+  RecordFastResponses(200);
+  TestConnection caller = Connect();
+  caller.Write(
+      "GET /idempotent HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(ReadResponse(caller).body, "whole");
+  EXPECT_EQ(tables_.counters.hedges, 1);
+}
+
 // Guards against a promise that an upload did not run, or a second run of it,
 // after a reset.
 TEST_F(ResetResponseTest, ResetUploadMayHaveRun) {
