--- a/tests/soak_fleet/server_faults_test.cc
+++ b/tests/soak_fleet/server_faults_test.cc
@@ -3,6 +3,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <filesystem>
 
 #include "fleet/harness/test_fleet.h"
@@ -65,6 +66,9 @@
       connection_ = std::make_unique<HttpConnection>(fleet_.server_address(0));
     ClientRequest message{
         request.method, request.path, {{"X-Request-Id", id}}, ""};
+    if (request.method == "POST")
+      message.body = std::string(upload_size_, 'u');
+    request.sent_body_hash = DigestOf(message.body).hash;
     message.max_response_body = 100000;
     request.sent_at = std::chrono::steady_clock::now();
     SetResponse(request, connection_->Call(message, kRequestTimeout));
@@ -88,6 +92,7 @@
   PlatformFleet fleet_;
   std::unique_ptr<HttpConnection> connection_;
   SoakRecord record_;
+  size_t upload_size_ = 0;
   int incomplete_ = 0;
 };
 
@@ -112,6 +117,18 @@
   EXPECT_GT(incomplete_, 0);
 }
 
+// Guards against uploads that a faulty server always reads to their end.
+TEST_F(ServerFaultsTest, UploadsEndEarly) {
+  upload_size_ = 100000;
+  ViolationsWith(ServerFaultKind::kBroken);
+  constexpr size_t kPosts = kRequests / 3;
+  const auto posts = std::count_if(
+      record_.runs.begin(), record_.runs.end(),
+      [](const auto& run) { return run.second.method == "POST"; });
+  EXPECT_GT(posts, 0);
+  EXPECT_LT(posts, kPosts);
+}
+
 TEST_F(ServerFaultsTest, ResponsesWithoutEndAreNotComplete) {
   ViolationsWith(ServerFaultKind::kEndless);
   EXPECT_GT(incomplete_, 5);
