--- a/tests/connection/malformed_head_test.cc
+++ b/tests/connection/malformed_head_test.cc
@@ -77,8 +77,10 @@
   for (const std::string& status : InvalidStatuses()) {
     for (const std::string& lines : {std::string(), length}) {
       SCOPED_TRACE(status + lines);
-      EXPECT_THAT(ResponseTo(HeadWith(status, lines + "\r\n") + forged),
-                  IsBrokenAnswer());
+      std::string bytes = HeadWith(status, lines);
+      bytes += "\r\n";
+      bytes += forged;
+      EXPECT_THAT(ResponseTo(bytes), IsBrokenAnswer());
     }
   }
 }
@@ -180,10 +182,10 @@
   uint64_t count = 0;
   for (const std::string& line : lines) {
     SCOPED_TRACE(testing::PrintToString(line));
-    EXPECT_THAT(
-        ResponseTo(HeadWith("200", line + "\r\nContent-Length: 2\r\n\r\nno") +
-                   forged),
-        IsBrokenAnswer());
+    std::string bytes = HeadWith("200", line);
+    bytes += "\r\nContent-Length: 2\r\n\r\nno";
+    bytes += forged;
+    EXPECT_THAT(ResponseTo(bytes), IsBrokenAnswer());
     EXPECT_EQ(FaultCount(ResponseFault::kMalformedHead), ++count);
   }
 }
@@ -204,12 +206,14 @@
 TEST_P(MalformedHeadTest, InvalidTrailerEndsNoBody) {
   for (const char byte : {' ', '\t', '\0', '\x01', '\x1f', '\x7f', '\x80'}) {
     SCOPED_TRACE(static_cast<int>(byte));
-    const std::string head =
-        HeadWith("200", "Transfer-Encoding: chunked\r\n\r\n");
-    const std::string trailer = std::string("X-Na") + byte + "me: a\r\n";
-    StartAgainWith([head, trailer](TestConnection& connection) {
+    std::string bytes = HeadWith("200",
+                                 "Transfer-Encoding: chunked\r\n\r\n"
+                                 "2\r\nno\r\n0\r\nX-Na");
+    bytes += byte;
+    bytes += "me: a\r\n\r\n";
+    StartAgainWith([bytes](TestConnection& connection) {
       connection.ReadMessage();
-      connection.Write(head + "2\r\nno\r\n0\r\n" + trailer + "\r\n");
+      connection.Write(bytes);
       connection.ReadMessage();
     });
     TestConnection caller = Connect();
