Share the servers of the tests of HTTP clients

EndlessServer and the new OneResponseServer had the same thread, and two test files the same GetOnce(). The tests and what they expect are the same.

--- a/tests/connection/broken_probe_test.cc
+++ b/tests/connection/broken_probe_test.cc
@@ -1,7 +1,10 @@
 #include <gtest/gtest.h>
+#include <array>
 #include <functional>
 #include <future>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "connection/fake_server.h"
 #include "process/servers/io/health_prober.h"
--- a/tests/process/broken_response_test.cc
+++ b/tests/process/broken_response_test.cc
@@ -2,8 +2,8 @@
 
 #include <stdexcept>
 
+#include "process/http_get_once.h"
 #include "process/io/blocking_get.h"
-#include "process/io/http_get.h"
 #include "process/one_response_server.h"
 
 namespace mangodoor {
@@ -12,27 +12,18 @@
 constexpr std::chrono::milliseconds kTimeout(1000);
 constexpr char kUnended[] = "HTTP/1.1 200 OK\r\n\r\nbody";
 
-HttpResult GetOnce(const Endpoint& endpoint) {
-  boost::asio::io_context context;
-  HttpResult result;
-  SendGet(context, endpoint, MakeGet(endpoint, "/"), kTimeout,
-          [&result](HttpResult got) { result = std::move(got); });
-  context.run();
-  return result;
-}
-
 // Guards against a part of a response that is taken for the whole of it, by the
 // sources of documents and instance lists, and by the programs for operators.
 TEST(BrokenResponseTest, ResetIsNoEndOfTheBody) {
   OneResponseServer server({kUnended, true});
-  EXPECT_NE(GetOnce(server.endpoint()).error, "");
+  EXPECT_NE(GetOnce(server.endpoint(), kTimeout).error, "");
   EXPECT_THROW(BlockingGet(server.endpoint(), "/", kTimeout),
                std::runtime_error);
 }
 
 TEST(BrokenResponseTest, CloseEndsTheBody) {
   OneResponseServer server({kUnended, false});
-  EXPECT_EQ(GetOnce(server.endpoint()).response.body(), "body");
+  EXPECT_EQ(GetOnce(server.endpoint(), kTimeout).response.body(), "body");
   EXPECT_EQ(BlockingGet(server.endpoint(), "/", kTimeout).body, "body");
 }
 
@@ -43,7 +34,8 @@
     OneResponseServer server(
         {"HTTP/1.1 " + digits + " Status\r\nContent-Length: 2\r\n\r\nok",
          false});
-    EXPECT_EQ(GetOnce(server.endpoint()).response.result_int(), status);
+    EXPECT_EQ(GetOnce(server.endpoint(), kTimeout).response.result_int(),
+              status);
     EXPECT_EQ(BlockingGet(server.endpoint(), "/", kTimeout).http_status,
               static_cast<int>(status));
   }
--- a/tests/process/endless_response_test.cc
+++ b/tests/process/endless_response_test.cc
@@ -3,8 +3,8 @@
 #include <stdexcept>
 
 #include "process/endless_server.h"
+#include "process/http_get_once.h"
 #include "process/io/blocking_get.h"
-#include "process/io/http_get.h"
 #include "process/io/page_server.h"
 #include "process/peers/io/peer_sockets.h"
 
@@ -19,20 +19,11 @@
   EndlessServer server_{GetParam(), kResponse};
 };
 
-HttpResult GetOnce(const Endpoint& endpoint) {
-  boost::asio::io_context context;
-  HttpResult result;
-  SendGet(context, endpoint, MakeGet(endpoint, "/"), kTimeout,
-          [&result](HttpResult got) { result = std::move(got); });
-  context.run();
-  return result;
-}
-
 // Guards against memory that grows as long as a faulty server goes on writing.
 TEST_P(EndlessResponseTest, EndsHttpGet) {
-  EXPECT_NE(GetOnce(server_.endpoint()).error, "");
+  EXPECT_NE(GetOnce(server_.endpoint(), kTimeout).error, "");
   EXPECT_LT(server_.bytes_sent(), kMaxEndlessBytes);
-  EXPECT_EQ(GetOnce(server_.endpoint()).response.body(), "ok");
+  EXPECT_EQ(GetOnce(server_.endpoint(), kTimeout).response.body(), "ok");
 }
 
 // Guards against the same in the programs for operators.
--- a/tests/process/endless_server.h
+++ b/tests/process/endless_server.h
@@ -2,16 +2,14 @@
 #define TESTS_PROCESS_ENDLESS_SERVER_H_
 
 #include <atomic>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <ostream>
 #include <string>
-#include <thread>
+#include <utility>
 #include <vector>
 
-#include "version/endpoint.h"
+#include "process/socket_server.h"
 
 namespace mangodoor {
 
@@ -70,50 +68,28 @@
   EndlessServer(EndlessResponse endless, std::string response)
       : endless_(std::move(endless)),
         response_(std::move(response)),
-        acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
-        thread_([this] { Run(); }) {}
-
-  ~EndlessServer() {
-    stopping_ = true;
-    boost::system::error_code ignored;
-    boost::asio::ip::tcp::socket wake(context_);
-    wake.connect(acceptor_.local_endpoint(), ignored);
-    wake.close(ignored);
-    thread_.join();
-  }
+        server_([this](boost::asio::ip::tcp::socket& socket) {
+          boost::system::error_code ignored;
+          if (std::exchange(first_, false))
+            WriteEndless(socket, endless_, stopping_, bytes_sent_);
+          else
+            boost::asio::write(socket, boost::asio::buffer(response_), ignored);
+        }) {}
 
-  Endpoint endpoint() const {
-    return {"127.0.0.1", acceptor_.local_endpoint().port()};
-  }
+  ~EndlessServer() { stopping_ = true; }
+
+  Endpoint endpoint() const { return server_.endpoint(); }
 
   /** Bytes of the endless response that the peer has taken so far. */
   size_t bytes_sent() const { return bytes_sent_; }
 
  private:
-  void Run() {
-    for (bool first = true; !stopping_; first = false) {
-      boost::system::error_code error;
-      boost::asio::ip::tcp::socket socket(context_);
-      acceptor_.accept(socket, error);
-      std::string request;
-      boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
-                              "\r\n\r\n", error);
-      if (error)
-        continue;
-      if (first)
-        WriteEndless(socket, endless_, stopping_, bytes_sent_);
-      else
-        boost::asio::write(socket, boost::asio::buffer(response_), error);
-    }
-  }
-
   const EndlessResponse endless_;
   const std::string response_;
+  bool first_ = true;
   std::atomic<bool> stopping_{false};
   std::atomic<size_t> bytes_sent_{0};
-  boost::asio::io_context context_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  std::thread thread_;
+  SocketServer server_;
 };
 
 /**
