Let tests of early responses wait for the end of the stream, not for a time

A reset behind the end of a response has to come after its sender has got all of it acknowledged: on a busy machine 20 ms may not be enough for 90,000 bytes, and the reset would then take the rest with it. Found by reading. The scripts that the tests of EarlyResponseTest repeated are functions now; what they expect is the same.

--- a/tests/connection/backend_connection_test.cc
+++ b/tests/connection/backend_connection_test.cc
@@ -87,7 +87,7 @@
   Run(
       [](TestConnection& server) {
         server.ShutdownSend();
-        std::this_thread::sleep_for(kArrival);
+        EXPECT_TRUE(server.WaitUntilAcknowledged());
         server.Reset();
       },
       [](BackendConnection& connection, YieldContext yield) {
--- a/tests/connection/early_response_test.cc
+++ b/tests/connection/early_response_test.cc
@@ -1,6 +1,8 @@
 #include <array>
+#include <functional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "connection/data_path_fixture.h"
@@ -24,7 +26,7 @@
 // Which operation learns of a reset first depends on timing.
 constexpr int kRepetitions = 5;
 
-// Long enough for a reset, or the end of a stream, to arrive.
+// Long enough for the buffers of the sockets to be full.
 constexpr std::chrono::milliseconds kArrival{20};
 
 // Longer than the delay of a hedge.
@@ -41,10 +43,11 @@
   bool buffers_responses;
 };
 
-std::string UploadHead(UploadForm form, const char* path = "/open") {
-  std::string head = std::string("POST ") + path +
-                     (form == UploadForm::kHttp10 ? " HTTP/1.0" : " HTTP/1.1") +
-                     "\r\nHost: a\r\nConnection: close\r\n";
+std::string UploadHead(UploadForm form) {
+  const std::string head =
+      std::string("POST /open ") +
+      (form == UploadForm::kHttp10 ? "HTTP/1.0" : "HTTP/1.1") +
+      "\r\nHost: a\r\nConnection: close\r\n";
   return head +
          (form == UploadForm::kChunked
               ? "Transfer-Encoding: chunked\r\n\r\n"
@@ -76,6 +79,30 @@
                                         std::vector<std::string>{"unknown"});
 }
 
+/** Ends a connection on which the head of a request was read. */
+using EndConnection = std::function<void(TestConnection&, const std::string&)>;
+
+void Reset(TestConnection& connection, const std::string& /*head*/) {
+  connection.Reset();
+}
+
+void EndStreamAndRead(TestConnection& connection, const std::string& head) {
+  connection.ShutdownSend();
+  ReadBody(connection, head);
+}
+
+/**
+ * Answers the head of a request with a body of `size` bytes, whose end is that
+ * of the connection, and calls `end`.
+ */
+FakeServer::Script AnswerUnread(size_t size, EndConnection end) {
+  return [size, end = std::move(end)](TestConnection& connection) {
+    const std::string head = connection.ReadHead();
+    connection.Write(kUnendedHead + std::string(size, 'x'));
+    end(connection, head);
+  };
+}
+
 /** Servers that answer an upload before they have read it. */
 class EarlyResponseTest : public DataPathTest,
                           public testing::WithParamInterface<UploadCase> {
@@ -100,13 +127,7 @@
   for (const size_t size : kBodySizes) {
     for (int i = 0; i < kRepetitions; ++i) {
       SCOPED_TRACE(size);
-      const ParsedResponse response =
-          Upload([size](TestConnection& connection) {
-            connection.ReadHead();
-            connection.Write(kUnendedHead + std::string(size, 'x'));
-            connection.Reset();
-          });
-      EXPECT_TRUE(PromisesNothing(response)) << response.body.size();
+      EXPECT_TRUE(PromisesNothing(Upload(AnswerUnread(size, Reset))));
     }
   }
 }
@@ -115,13 +136,11 @@
 TEST_P(EarlyResponseTest, LateResetIsNoEndOfTheBody) {
   for (const size_t size : kBodySizes) {
     SCOPED_TRACE(size);
-    const ParsedResponse response = Upload([size](TestConnection& connection) {
-      connection.ReadHead();
-      connection.Write(kUnendedHead + std::string(size, 'x'));
-      std::this_thread::sleep_for(kArrival);
-      connection.Reset();
-    });
-    EXPECT_TRUE(PromisesNothing(response)) << response.body.size();
+    EXPECT_TRUE(PromisesNothing(Upload(AnswerUnread(
+        size, [](TestConnection& connection, const std::string& head) {
+          std::this_thread::sleep_for(kArrival);
+          Reset(connection, head);
+        }))));
   }
 }
 
@@ -129,12 +148,11 @@
 TEST_P(EarlyResponseTest, ResetAfterTheUploadIsNoEndOfTheBody) {
   for (const size_t size : kBodySizes) {
     SCOPED_TRACE(size);
-    const ParsedResponse response = Upload([size](TestConnection& connection) {
+    EXPECT_TRUE(PromisesNothing(Upload([size](TestConnection& connection) {
       ReadBody(connection, connection.ReadHead());
       connection.Write(kUnendedHead + std::string(size, 'x'));
       connection.Reset();
-    });
-    EXPECT_TRUE(PromisesNothing(response)) << response.body.size();
+    })));
   }
 }
 
@@ -143,13 +161,7 @@
 TEST_P(EarlyResponseTest, ClosedSendingSideEndsTheBody) {
   for (const size_t size : kBodySizes) {
     SCOPED_TRACE(size);
-    const ParsedResponse response = Upload([size](TestConnection& connection) {
-      const std::string head = connection.ReadHead();
-      connection.Write(kUnendedHead + std::string(size, 'x'));
-      connection.ShutdownSend();
-      ReadBody(connection, head);
-    });
-    EXPECT_TRUE(IsWhole(response, size)) << response.body.size();
+    EXPECT_TRUE(IsWhole(Upload(AnswerUnread(size, EndStreamAndRead)), size));
   }
 }
 
@@ -158,14 +170,13 @@
 TEST_P(EarlyResponseTest, ResetBehindTheEndOfTheBodyDoesNotCount) {
   for (const size_t size : kBodySizes) {
     SCOPED_TRACE(size);
-    const ParsedResponse response = Upload([size](TestConnection& connection) {
-      connection.ReadHead();
-      connection.Write(kUnendedHead + std::string(size, 'x'));
-      connection.ShutdownSend();
-      std::this_thread::sleep_for(kArrival);
-      connection.Reset();
-    });
-    EXPECT_TRUE(IsWhole(response, size)) << response.body.size();
+    const ParsedResponse response = Upload(AnswerUnread(
+        size, [](TestConnection& connection, const std::string& head) {
+          connection.ShutdownSend();
+          EXPECT_TRUE(connection.WaitUntilAcknowledged());
+          Reset(connection, head);
+        }));
+    EXPECT_TRUE(IsWhole(response, size));
   }
 }
 
@@ -176,7 +187,7 @@
       ReadBody(connection, connection.ReadHead());
       connection.Write(kUnendedHead + std::string(size, 'x'));
     });
-    EXPECT_TRUE(IsWhole(response, size)) << response.body.size();
+    EXPECT_TRUE(IsWhole(response, size));
   }
 }
 
@@ -200,12 +211,7 @@
   constexpr size_t kSent = 1024 * 1024;
   for (const size_t size : kBodySizes) {
     SCOPED_TRACE(size);
-    StartAgainWith([size](TestConnection& connection) {
-      const std::string head = connection.ReadHead();
-      connection.Write(kUnendedHead + std::string(size, 'x'));
-      connection.ShutdownSend();
-      ReadBody(connection, head);
-    });
+    StartAgainWith(AnswerUnread(size, EndStreamAndRead));
     TestConnection caller = Connect();
     caller.Write(UploadHead(GetParam().form) +
                  UploadBody(GetParam().form).substr(0, kSent));
--- a/tests/connection/fake_server.cc
+++ b/tests/connection/fake_server.cc
@@ -1,5 +1,7 @@
 #include "connection/fake_server.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -142,6 +144,20 @@
   ::shutdown(socket_.native_handle(), SHUT_WR);
 }
 
+bool TestConnection::WaitUntilAcknowledged() {
+  constexpr std::chrono::milliseconds kStep{1};
+  for (std::chrono::milliseconds waited{0}; waited < kReadLimit;
+       waited += kStep) {
+    int unacknowledged = 0;
+    if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) != 0)
+      return false;
+    if (unacknowledged == 0)
+      return true;
+    std::this_thread::sleep_for(kStep);
+  }
+  return false;
+}
+
 // Disconnecting a socket resets its connection and keeps its descriptor, which
 // another thread may be about to use.
 void TestConnection::Reset() {
--- a/tests/connection/fake_server.h
+++ b/tests/connection/fake_server.h
@@ -43,6 +43,11 @@
   void Shutdown();
   /** Sends an end of stream. The other side can still write. */
   void ShutdownSend();
+  /**
+   * Waits until the other side has acknowledged all bytes, and the end of the
+   * stream after ShutdownSend(). False if it does not within the time limit.
+   */
+  bool WaitUntilAcknowledged();
   /** Resets the connection, which stays usable for Shutdown. */
   void Reset();
   /** Reads what arrives next into buffer(). False if nothing arrives. */
