--- a/src/connection/io/backend_connection.cc
+++ b/src/connection/io/backend_connection.cc
@@ -35,9 +35,8 @@
   return error;
 }
 
-// Every write to the socket is made here, on the strand, and not by the
-// reactor: its error is known before the handler of a read that comes after it
-// runs.
+// Writes on the strand, and does not let the reactor write: the error is known
+// before the handler of a read that comes after the write runs.
 boost::system::error_code Write(BackendConnection& connection,
                                 std::string_view data,
                                 YieldContext yield) {
--- a/src/connection/io/backend_connection.h
+++ b/src/connection/io/backend_connection.h
@@ -48,8 +48,7 @@
                                    size_t size,
                                    YieldContext yield);
 
-/** Writes all of `data`. Must be called on the strand on which ReadSome() is.
- */
+/** Writes all of `data`, on the strand on which ReadSome() is called. */
 boost::system::error_code Write(BackendConnection& connection,
                                 std::string_view data,
                                 YieldContext yield);
