--- a/tests/connection/broken_probe_test.cc
+++ b/tests/connection/broken_probe_test.cc
@@ -1,5 +1,4 @@
 #include <gtest/gtest.h>
-#include <array>
 #include <functional>
 #include <future>
 #include <memory>
@@ -7,6 +6,7 @@
 #include <vector>
 
 #include "connection/fake_server.h"
+#include "connection/invalid_statuses.h"
 #include "process/servers/io/health_prober.h"
 #include "process/servers/io/load_prober.h"
 #include "process/system_clock.h"
@@ -93,9 +93,6 @@
   };
 }
 
-constexpr std::array<const char*, 7> kInvalidStatuses{
-    "000", "001", "099", "600", "699", "700", "999"};
-
 // Guards against a process that ends because a health response states a length
 // beyond its memory.
 TEST_F(BrokenProbeTest, HugeLengthEndsTheLoadProbe) {
--- a/tests/connection/malformed_head_test.cc
+++ b/tests/connection/malformed_head_test.cc
@@ -2,6 +2,7 @@
 #include <vector>
 
 #include "connection/broken_server_fixture.h"
+#include "connection/invalid_statuses.h"
 
 namespace mangodoor {
 namespace {
@@ -49,18 +50,12 @@
                            return info.param ? "Buffered" : "Relayed";
                          });
 
-const std::vector<std::string>& InvalidStatuses() {
-  static const std::vector<std::string> statuses = {"000", "001", "099", "600",
-                                                    "699", "700", "999"};
-  return statuses;
-}
-
 // Guards against a status that HTTP does not have in the response that a caller
 // gets, and against one below 100 that passes for an interim response
 // (RFC 9110, section 15).
 TEST_P(MalformedHeadTest, InvalidStatusReachesNoCaller) {
   uint64_t count = 0;
-  for (const std::string& status : InvalidStatuses()) {
+  for (const char* status : kInvalidStatuses) {
     SCOPED_TRACE(status);
     EXPECT_THAT(ResponseTo(HeadWith(status, "Content-Length: 2\r\n\r\nno")),
                 IsBrokenAnswer());
@@ -74,7 +69,7 @@
   const std::string forged = SignedResponse("one", "forged");
   const std::string length =
       "Content-Length: " + std::to_string(forged.size()) + "\r\n";
-  for (const std::string& status : InvalidStatuses()) {
+  for (const char* status : kInvalidStatuses) {
     for (const std::string& lines : {std::string(), length}) {
       SCOPED_TRACE(status + lines);
       std::string bytes = HeadWith(status, lines);
@@ -106,7 +101,7 @@
 
 // Guards against an error for a request that another server can answer.
 TEST_P(MalformedHeadTest, InvalidStatusIsRetriedElsewhere) {
-  for (const std::string& status : InvalidStatuses()) {
+  for (const char* status : kInvalidStatuses) {
     SCOPED_TRACE(status);
     received_ = 0;
     const FakeServer::Script script = [&](TestConnection& connection) {
@@ -128,9 +123,9 @@
 // Guards against an invalid status that is skipped because it states the id of
 // an earlier request.
 TEST_P(MalformedHeadTest, InvalidStatusOfAnExtraResponseIsNotSkipped) {
-  for (const std::string& status : InvalidStatuses()) {
+  for (const char* status : kInvalidStatuses) {
     SCOPED_TRACE(status);
-    StartAgainWith([&status](TestConnection& connection) {
+    StartAgainWith([status](TestConnection& connection) {
       connection.ReadMessage();
       connection.Write(SignedResponse("one", "first"));
       connection.ReadMessage();
