Name the time that lets buffers fill for what it is

A constant of the tests of early responses still had its old name, and backend_connection_test.cc an alias that nothing used. The 259 tests of tests/connection pass, clang-tidy is clean on the changed files.

--- a/tests/connection/backend_connection_test.cc
+++ b/tests/connection/backend_connection_test.cc
@@ -14,7 +14,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using ErrorCode = boost::system::error_code;
 
 constexpr char kPart[] = "part of a body";
 constexpr size_t kReadSize = 1024;
--- a/tests/connection/early_response_test.cc
+++ b/tests/connection/early_response_test.cc
@@ -27,7 +27,7 @@
 constexpr int kRepetitions = 5;
 
 // Long enough for the buffers of the sockets to be full.
-constexpr std::chrono::milliseconds kArrival{20};
+constexpr std::chrono::milliseconds kFillTime{20};
 
 // Longer than the delay of a hedge.
 constexpr std::chrono::milliseconds kSlow{300};
@@ -138,7 +138,7 @@
     SCOPED_TRACE(size);
     EXPECT_TRUE(PromisesNothing(Upload(AnswerUnread(
         size, [](TestConnection& connection, const std::string& head) {
-          std::this_thread::sleep_for(kArrival);
+          std::this_thread::sleep_for(kFillTime);
           Reset(connection, head);
         }))));
   }
